--- a/src/bin/glendrift-adapter.rs
+++ b/src/bin/sagearch-benchlink.rs
@@ -1,6 +1,6 @@
 //! Puts the router on the simulator's wire: a batch a line in, a flushed reply a line out.
 
-use glendrift::wire::Gateways;
+use sagearch::wire::Gateways;
 use std::io::{BufRead, BufWriter, Write, stdin, stdout};
 use std::process::ExitCode;
 
@@ -20,7 +20,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
-            eprintln!("glendrift-adapter: {cause}");
+            eprintln!("sagearch-benchlink: {cause}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! in their order. The router holds no clock, does no I/O and starts no threads.
 //!
 //! ```
-//! use glendrift::{Router, interface::*};
+//! use sagearch::{Router, interface::*};
 //!
 //! let cold = ColdRule { floor: 0.2, warm_up: 10_000_000, multiple: 2.0, window: 1_000_000 };
 //! let settings = Settings {
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -5,7 +5,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_glendrift-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sagearch-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A gateway played by hand, for tests of the module.
 #![allow(dead_code)]
 
-use glendrift::{Router, interface::*};
+use sagearch::{Router, interface::*};
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use glendrift::interface::*;
+use sagearch::interface::*;
 
 #[test]
 fn one_hash_names_the_cache_and_the_parent_at_every_router() {
@@ -10,7 +10,7 @@
     two.router = {
         let mut other = settings();
         other.zone = 0;
-        let mut router = glendrift::Router::new(other, 99);
+        let mut router = sagearch::Router::new(other, 99);
         let mut members = fleet();
         members.reverse();
         router.handle(two.now, Event::Members { kind: ListKind::Complete, members }, &mut Vec::new());
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use glendrift::interface::*;
+use sagearch::interface::*;
 
 // ---- no request is lost ----
 
@@ -186,7 +186,7 @@
         zoned.zones[0].routers = routers;
         zoned.routers = routers;
         let mut bench = Bench::new();
-        bench.router = glendrift::Router::new(zoned, u64::from(router));
+        bench.router = sagearch::Router::new(zoned, u64::from(router));
         bench.event(Event::Members { kind: ListKind::Complete, members: fleet() });
         let cold = started_now(&bench, 1, Role::Cache);
         bench.event(cold);
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use glendrift::interface::*;
+use sagearch::interface::*;
 
 /// A first-choice object of the cache.
 fn object_at(cache: u32) -> String {
