--- a/src/brain.rs
+++ b/src/brain.rs
@@ -449,14 +449,18 @@
         let uncacheable = self.settings.classes[class].uncacheable;
         let rank = if uncacheable { 0 } else { self.count(key) };
         let pace = self.settings.pace_kb_per_s;
-        let work = if pace > 0.0 { asked.size_kb / pace } else { 0.0 };
+        let sized = if pace > 0.0 { asked.size_kb / pace } else { 0.0 };
         let (mean, seen) = &mut self.mean_work[class];
-        *seen = (*seen + 1.0).min(1000.0);
-        *mean += (work - *mean) / *seen;
+        // A look-up by name tells no size: it stands for the mean of its class and teaches nothing.
+        let work = if asked.by_name { *mean } else { sized };
+        if !asked.by_name {
+            *seen = (*seen + 1.0).min(1000.0);
+            *mean += (work - *mean) / *seen;
+        }
         self.retries = (self.retries + RETRY_EARN).min(RETRY_SAVED);
         let deadline = self.now + budget;
         let open = Open { asked, class, key, object, rank, work, deadline, ..Open::default() };
-        if !uncacheable {
+        if !uncacheable && !open.asked.by_name {
             let worth = self.worth_for_work(&open);
             self.worths.push_back(worth);
             if self.worths.len() > WORTHS_KEPT {
@@ -733,6 +737,8 @@
         peer.inflight += 1;
         // After a time out a member gets one request on trial, and no more until that has ended.
         peer.trial_out |= peer.out_until.is_some();
+        // A check asks no source: what it costs the source is charged, but nothing said of it.
+        let source = source.filter(|_| !self.open[&id].asked.by_name);
         let attempt =
             Attempt { member, source, charged, looked, likely, sent: now, again_at, ..Attempt::default() };
         if let Some(at) = again_at {
@@ -798,7 +804,10 @@
                 budget.into_iter().for_each(|budget| budget.0 += attempt.charged);
             }
         }
-        self.learn_waits(id, attempt);
+        // The time of a check speaks of no fill.
+        if !self.open[&id].asked.by_name {
+            self.learn_waits(id, attempt);
+        }
         if attempt.ended == Some(Outcome::Served) {
             self.learn_pace(id, attempt);
         }
@@ -874,6 +883,7 @@
                 self.acquit(attempt.member);
                 attempt.source.filter(|_| filled).into_iter().for_each(|source| self.acquit(source));
             }
+            Outcome::Checked => self.acquit(attempt.member),
             Outcome::Unreachable => self.strike(attempt.member, 1.0),
             Outcome::Failed | Outcome::TimedOut | Outcome::Reset => {
                 blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS));
--- /dev/null
+++ b/src/broker.rs
@@ -0,0 +1,287 @@
+//! The broker: the decision module behind a facade of requests, attempts and outcomes.
+//!
+//! A front calls [`Broker::pick`] with a request and gets a [`Verdict`]: an attempt to carry out, a
+//! refusal or a failure. It carries the attempt out and hands its outcome to [`Broker::report`], which
+//! returns the next verdict. What [`Broker::tick`] decides (an attempt timed out, a pause is over, a
+//! deadline is near) goes to the request's [`Waiter`]. Nothing here does I/O or reads a clock: both
+//! fronts and the tests pass the time in, in microseconds of a monotonic clock.
+
+use crate::Router;
+use crate::interface::*;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+
+/// Purges that are held against attempts picked before them but not yet written.
+const PURGES_KEPT: usize = 256;
+
+/// An attempt that the front is to carry out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    pub request: RequestId,
+    /// Number of the attempt, counted from 0 for each request.
+    pub attempt: u32,
+    pub member: MemberId,
+    /// The broker ends the attempt itself after this; the store is told it.
+    pub timeout: Micros,
+    pub fill: Option<Fill>,
+    pub picked: Micros,
+}
+
+/// What is to be done about a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    Attempt(Order),
+    /// Final: trying again is harmless, best after `backoff`.
+    Refused {
+        backoff: Option<Micros>,
+    },
+    /// Final: failed, no promise.
+    Failed,
+}
+
+/// What follows an outcome.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Next {
+    /// The request is finished by this outcome.
+    Done,
+    Verdict(Verdict),
+    /// The verdict comes to the waiter; or the outcome was of an attempt that had already ended.
+    Wait,
+}
+
+/// Who waits for a verdict that a timer brings.
+pub trait Waiter {
+    fn deliver(&self, verdict: Verdict);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u32),
+}
+
+struct Out {
+    attempt: u32,
+    member: MemberId,
+    sent: Micros,
+}
+
+struct Entry<W> {
+    waiter: W,
+    attempts: u32,
+    out: Option<Out>,
+    object: String,
+    group: Option<u64>,
+}
+
+struct Purge {
+    told: Micros,
+    object: Option<String>,
+    group: Option<u64>,
+}
+
+/// The decisions of one gateway, for any front.
+pub struct Broker<W> {
+    router: Router,
+    open: HashMap<RequestId, Entry<W>>,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+    states: BTreeMap<MemberId, MemberState>,
+    purges: VecDeque<Purge>,
+}
+
+impl<W: Waiter> Broker<W> {
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Broker {
+            router: Router::new(settings, seed),
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            states: BTreeMap::new(),
+            purges: VecDeque::new(),
+        }
+    }
+
+    /// Requests that have no final verdict yet.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Takes a request in. `None`: the verdict comes to the waiter.
+    pub fn pick(&mut self, now: Micros, request: Request, waiter: W) -> Option<Verdict> {
+        let id = request.id;
+        // An id that is open already would take over the other's entry and leave that one unanswered.
+        if self.open.contains_key(&id) {
+            return Some(Verdict::Failed);
+        }
+        let (object, group) = (request.object.clone(), request.purge_group);
+        self.open.insert(id, Entry { waiter, attempts: 0, out: None, object, group });
+        let verdict = self.drive(now, Event::Request(request));
+        self.settle(id, verdict.as_ref());
+        verdict
+    }
+
+    /// Takes in how an attempt ended. A late report of an attempt that has ended changes nothing.
+    pub fn report(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        detail: Detail,
+        load: Load,
+    ) -> Next {
+        let next = self.ended(now, id, attempt, outcome, detail, load);
+        if let Next::Verdict(verdict) = &next {
+            self.settle(id, Some(verdict));
+        }
+        next
+    }
+
+    /// Takes in that a picked member passed its check: it stands for work that goes there next. Where the
+    /// member has left the list since it was picked, the lookup goes on to the next one.
+    pub fn checked(&mut self, now: Micros, order: &Order) -> Next {
+        let outcome = if self.serving(order.member) { Outcome::Checked } else { Outcome::NotSent };
+        self.report(now, order.request, order.attempt, outcome, Detail::Untold, Load::default())
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn abandon(&mut self, now: Micros, id: RequestId) {
+        if self.open.contains_key(&id) {
+            self.drive(now, Event::Abandoned { request: id });
+            self.open.remove(&id);
+        }
+    }
+
+    /// Runs what has come due and hands the verdicts to those who wait for them.
+    pub fn tick(&mut self, now: Micros) {
+        while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((_, due))) = self.timers.pop() else { return };
+            let (id, verdict) = match due {
+                Due::Module(timer) => {
+                    let id = RequestId(timer);
+                    (id, self.drive(now, Event::Timer(TimerId(timer))))
+                }
+                Due::Attempt(id, attempt) => {
+                    let next =
+                        self.ended(now, id, attempt, Outcome::TimedOut, Detail::Untold, Load::default());
+                    let Next::Verdict(verdict) = next else { continue };
+                    (id, Some(verdict))
+                }
+            };
+            let Some(verdict) = verdict else { continue };
+            self.hand_over(id, verdict);
+        }
+    }
+
+    /// Takes in a list of members.
+    pub fn members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>) {
+        if kind == ListKind::Complete {
+            self.states.values_mut().for_each(|state| *state = MemberState::Gone);
+        }
+        self.states.extend(members.iter().map(|member| (member.id, member.state)));
+        let mut actions = Vec::new();
+        self.router.handle(now, Event::Members { kind, members }, &mut actions);
+    }
+
+    /// Takes in a purge of an object, or with no object of a group, made `ago` before now.
+    pub fn purged(&mut self, now: Micros, object: Option<String>, group: Option<u64>, ago: Micros) {
+        self.purges.push_back(Purge { told: now, object: object.clone(), group });
+        if self.purges.len() > PURGES_KEPT {
+            self.purges.pop_front();
+        }
+        let mut actions = Vec::new();
+        self.router.handle(now, Event::Purged { object, group, ago }, &mut actions);
+    }
+
+    /// Whether a member may be given new work.
+    pub fn serving(&self, member: MemberId) -> bool {
+        self.states.get(&member) == Some(&MemberState::Serving)
+    }
+
+    /// Asked again as an attempt's first byte is about to be written, which may be long after it was picked
+    /// (a connection had to come up): its member and source still serve, its request is still open, and no
+    /// purge has been told since that it does not know of.
+    pub fn may_send(&self, order: &Order) -> bool {
+        let Some(entry) = self.open.get(&order.request) else { return false };
+        let current = entry.out.as_ref().is_some_and(|out| out.attempt == order.attempt);
+        let source = order.fill.and_then(|fill| fill.source);
+        let voided = |purge: &Purge| {
+            purge.told >= order.picked
+                && match &purge.object {
+                    Some(object) => *object == entry.object,
+                    None => purge.group.is_some() && purge.group == entry.group,
+                }
+        };
+        current
+            && self.serving(order.member)
+            && source.is_none_or(|source| self.serving(source))
+            && !self.purges.iter().rev().any(voided)
+    }
+
+    /// A request with a final verdict is no longer open.
+    fn settle(&mut self, id: RequestId, verdict: Option<&Verdict>) -> Option<Entry<W>> {
+        let last = verdict.is_some_and(|verdict| !matches!(verdict, Verdict::Attempt(_)));
+        if last { self.open.remove(&id) } else { None }
+    }
+
+    fn hand_over(&mut self, id: RequestId, verdict: Verdict) {
+        match self.settle(id, Some(&verdict)) {
+            Some(entry) => entry.waiter.deliver(verdict),
+            None => self.open.get(&id).into_iter().for_each(|entry| entry.waiter.deliver(verdict.clone())),
+        }
+    }
+
+    /// Tells the module that an attempt has ended, if it is still out.
+    fn ended(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        detail: Detail,
+        load: Load,
+    ) -> Next {
+        let finished = matches!(outcome, Outcome::Served | Outcome::Checked);
+        let Some(entry) = self.open.get_mut(&id) else { return Next::Wait };
+        let Some(out) = entry.out.take_if(|out| out.attempt == attempt) else { return Next::Wait };
+        let elapsed = now.saturating_sub(out.sent);
+        let member = out.member;
+        let event = Event::Outcome { request: id, member, attempt, outcome, detail, elapsed, finished, load };
+        let verdict = self.drive(now, event);
+        if finished {
+            self.open.remove(&id);
+            return Next::Done;
+        }
+        verdict.map_or(Next::Wait, Next::Verdict)
+    }
+
+    /// Hands an event to the module and carries out what concerns timers and cancellations here.
+    fn drive(&mut self, now: Micros, event: Event) -> Option<Verdict> {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        let mut verdict = None;
+        for action in actions {
+            match action {
+                Action::Attempt { request, member, timeout, fill } => {
+                    let Some(entry) = self.open.get_mut(&request) else { continue };
+                    let attempt = entry.attempts;
+                    entry.attempts += 1;
+                    entry.out = Some(Out { attempt, member, sent: now });
+                    self.timers.push(Reverse((now + timeout, Due::Attempt(request, attempt))));
+                    let order = Order { request, attempt, member, timeout, fill, picked: now };
+                    verdict = Some(Verdict::Attempt(order));
+                }
+                Action::Refuse { backoff, .. } => verdict = Some(Verdict::Refused { backoff }),
+                Action::Fail { .. } => verdict = Some(Verdict::Failed),
+                Action::SetTimer { timer, after } => {
+                    self.timers.push(Reverse((now + after, Due::Module(timer.0))));
+                }
+                // The front stops the attempt when it gets the final verdict that comes with this.
+                Action::Cancel { request, attempt } => {
+                    let (how, detail, load) = (Outcome::Cancelled, Detail::Untold, Load::default());
+                    self.ended(now, request, attempt, how, detail, load);
+                }
+            }
+        }
+        verdict
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,221 @@
+//! The one place where the gateway's configuration is read, checked and given its defaults.
+//!
+//! The platform gives `NODE_CONFIG`, a JSON file; `NODE_NAME` and `NODE_LISTEN`, where set, go before the
+//! file's values. The name front is on only where a file (`deploy/dns.json`, or what `--dns` names) gives
+//! its listen address. Every message names the key at fault.
+
+use crate::interface::Settings;
+use crate::net::bus::Batch;
+use crate::settings::{Names, settings};
+use serde::Deserialize;
+use serde_json::Value;
+use std::fmt;
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+
+/// Descriptors assumed where the configuration sets no limit, and the fewest that the gateway can work with.
+const SOCKETS: usize = 1_024;
+const SOCKETS_LEAST: usize = 64;
+const MEMORY_MB: usize = 192;
+/// How long a resolver waits, where the file does not say.
+const DNS_DEADLINE_MS: u64 = 1_000;
+
+/// What is wrong, and with which key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ConfigError {
+    pub key: String,
+    pub cause: String,
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.cause)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+fn fault(key: &str, cause: impl fmt::Display) -> ConfigError {
+    ConfigError { key: key.into(), cause: cause.to_string() }
+}
+
+/// All that a gateway is told at its start.
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub memory_mb: usize,
+    pub sockets: usize,
+    pub bus: SocketAddr,
+    /// The bus's events of the start.
+    pub known: Batch,
+    pub settings: Settings,
+    pub names: Names,
+    pub dns: Option<Dns>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    seed: Option<Value>,
+    #[serde(default)]
+    limits: Limits,
+    bus: Option<String>,
+    known: Option<Value>,
+    settings: Option<Value>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Limits {
+    memory_mb: Option<usize>,
+    sockets: Option<usize>,
+}
+
+/// The name front.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dns {
+    pub listen: SocketAddr,
+    /// The suffix under which names are answered, in lower case, without dots at its ends.
+    pub domain: String,
+    pub deadline_ms: u64,
+    pub sources: Vec<Source>,
+}
+
+/// Resolvers of an address or a network, and where they stand.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    pub net: (IpAddr, u8),
+    pub zone: String,
+    /// These keep answers longer than told: they get the gateway's own address.
+    pub ignores_lifetimes: bool,
+}
+
+impl Source {
+    pub fn holds(&self, from: IpAddr) -> bool {
+        let (net, bits) = self.net;
+        match (net, from) {
+            (IpAddr::V4(net), IpAddr::V4(from)) => {
+                let shift = 32 - u32::from(bits.min(32));
+                let cut = |ip: u32| ip.checked_shr(shift).unwrap_or(0);
+                cut(net.into()) == cut(from.into())
+            }
+            (IpAddr::V6(net), IpAddr::V6(from)) => {
+                let shift = 128 - u32::from(bits.min(128));
+                let cut = |ip: u128| ip.checked_shr(shift).unwrap_or(0);
+                cut(net.into()) == cut(from.into())
+            }
+            _ => false,
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct DnsFile {
+    listen: Option<String>,
+    domain: Option<String>,
+    deadline_ms: Option<u64>,
+    #[serde(default)]
+    sources: Vec<SourceFile>,
+}
+
+#[derive(Deserialize)]
+struct SourceFile {
+    net: String,
+    zone: String,
+    #[serde(default)]
+    ignores_lifetimes: bool,
+}
+
+fn address(key: &str, text: Option<&str>) -> Result<SocketAddr, ConfigError> {
+    let text = text.ok_or_else(|| fault(key, "is missing"))?;
+    text.parse().map_err(|_| fault(key, format!("{text:?} is not an address like 127.0.0.1:5050")))
+}
+
+fn seed(value: Option<&Value>) -> Result<u64, ConfigError> {
+    match value {
+        None => Err(fault("seed", "is missing")),
+        Some(Value::String(text)) => u64::from_str_radix(text.trim_start_matches("0x"), 16)
+            .map_err(|_| fault("seed", format!("{text:?} is not 16 hex digits"))),
+        Some(other) => other.as_u64().ok_or_else(|| fault("seed", "is no whole number from 0")),
+    }
+}
+
+fn at_least(key: &str, value: usize, least: usize) -> Result<usize, ConfigError> {
+    if value < least { Err(fault(key, format!("{value} is under {least}"))) } else { Ok(value) }
+}
+
+/// Decodes the configuration. `name` and `listen` go before the file's where they are given.
+pub fn decode(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
+    let file: File = serde_json::from_str(text).map_err(|e| fault("NODE_CONFIG", e))?;
+    let listen_key = if listen.is_some() { "NODE_LISTEN" } else { "listen" };
+    let known = file.known.unwrap_or_else(|| serde_json::json!({"offset": 0, "batch": []}));
+    let (settings, names) = settings(file.settings.ok_or_else(|| fault("settings", "is missing"))?)
+        .map_err(|e| fault("settings", e))?;
+    Ok(Config {
+        name: name.or(file.name).ok_or_else(|| fault("name", "is missing"))?,
+        listen: address(listen_key, listen.or(file.listen).as_deref())?,
+        seed: seed(file.seed.as_ref())?,
+        memory_mb: at_least("limits.memory_mb", file.limits.memory_mb.unwrap_or(MEMORY_MB), 64)?,
+        sockets: at_least("limits.sockets", file.limits.sockets.unwrap_or(SOCKETS), SOCKETS_LEAST)?,
+        bus: address("bus", file.bus.as_deref())?,
+        known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
+        settings,
+        names,
+        dns: None,
+    })
+}
+
+fn network(text: &str) -> Result<(IpAddr, u8), ConfigError> {
+    let bad = || fault("sources.net", format!("{text:?} is not a network like 127.0.0.0/8"));
+    let (ip, bits) = text.split_once('/').map_or((text, None), |(ip, bits)| (ip, Some(bits)));
+    let ip: IpAddr = ip.parse().map_err(|_| bad())?;
+    let most = if ip.is_ipv4() { 32 } else { 128 };
+    let bits = bits.map_or(Ok(most), str::parse).map_err(|_| bad())?;
+    if bits > most { Err(bad()) } else { Ok((ip, bits)) }
+}
+
+/// Decodes the name front's file. `None`: it names no listen address, so the front stays off.
+pub fn decode_dns(text: &str, names: &Names) -> Result<Option<Dns>, ConfigError> {
+    let file: DnsFile = serde_json::from_str(text).map_err(|e| fault("dns", e))?;
+    let Some(listen) = file.listen else { return Ok(None) };
+    let listen = address("dns.listen", Some(&listen))?;
+    if !listen.ip().is_loopback() {
+        return Err(fault("dns.listen", format!("{listen} is not a loopback address")));
+    }
+    let domain = file.domain.ok_or_else(|| fault("dns.domain", "is missing"))?;
+    let domain = domain.trim_matches('.').to_ascii_lowercase();
+    if domain.is_empty() {
+        return Err(fault("dns.domain", "is empty"));
+    }
+    let mut sources = Vec::new();
+    for source in file.sources {
+        if !names.zones.contains_key(&source.zone) {
+            return Err(fault("dns.sources.zone", format!("{:?} is not in the settings", source.zone)));
+        }
+        let net = network(&source.net)?;
+        sources.push(Source { net, zone: source.zone, ignores_lifetimes: source.ignores_lifetimes });
+    }
+    let deadline_ms = file.deadline_ms.unwrap_or(DNS_DEADLINE_MS);
+    if !(10..=60_000).contains(&deadline_ms) {
+        return Err(fault("dns.deadline_ms", format!("{deadline_ms} is not from 10 to 60000")));
+    }
+    Ok(Some(Dns { listen, domain, deadline_ms, sources }))
+}
+
+/// Reads the environment and the files that it names.
+pub fn read(config: Option<&Path>, dns: &Path) -> Result<Config, ConfigError> {
+    let var = |key| std::env::var(key).ok().filter(|value| !value.is_empty());
+    let path = config.map(Path::to_path_buf).or(var("NODE_CONFIG").map(Into::into));
+    let path = path.ok_or_else(|| fault("NODE_CONFIG", "is not set"))?;
+    let text = std::fs::read_to_string(&path)
+        .map_err(|e| fault("NODE_CONFIG", format!("{}: {e}", path.display())))?;
+    let mut config = decode(&text, var("NODE_NAME"), var("NODE_LISTEN"))?;
+    match std::fs::read_to_string(dns) {
+        Ok(text) => config.dns = decode_dns(&text, &config.names)?,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => {}
+        Err(e) => return Err(fault("dns", format!("{}: {e}", dns.display()))),
+    }
+    Ok(config)
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -10,7 +10,7 @@
 pub struct MemberId(pub u32);
 
 /// One try of one client; never reused.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// A timer that the router set; the gateway hands it back when it comes due.
@@ -145,6 +145,9 @@
     pub object: String,
     pub part: u32,
     pub purge_group: Option<u64>,
+    /// Asks for a member by name: its size is not known, and its attempts are checks, so that its times
+    /// say nothing of sending.
+    pub by_name: bool,
 }
 
 /// What a member told of its load.
@@ -176,6 +179,8 @@
     NotSent,
     /// No copy that will do, none filled; it never ran.
     Miss,
+    /// The member answered a check and takes the work that follows; no work of this gateway ran.
+    Checked,
     /// A code that this version does not know; it may have run.
     Unknown,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,7 +31,7 @@
 //! }, &mut actions);
 //! router.handle(1_000, Event::Request(Request {
 //!     id: RequestId(1), class: Some(0), budget: 2_000_000, size_kb: 300.0,
-//!     object: "map".into(), part: 0, purge_group: None,
+//!     object: "map".into(), part: 0, purge_group: None, by_name: false,
 //! }), &mut actions);
 //! for action in &actions {
 //!     if let Action::Attempt { member, fill, .. } = action {
@@ -43,7 +43,12 @@
 //! ```
 
 mod brain;
+pub mod broker;
+pub mod config;
 pub mod interface;
+pub mod log;
+pub mod net;
+pub mod settings;
 #[doc(hidden)]
 pub mod wire;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,80 @@
-fn main() {}
+//! The gateway program. The platform starts it without arguments.
+
+use clap::{Parser, Subcommand};
+use log::LevelFilter;
+use sagearch::config::{self, Config};
+use sagearch::net::{self, gateway::Gateway, signal};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    version,
+    about = "A cache gateway: takes requests in and sends them to caches, parents and the origin"
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+    /// The configuration, instead of what NODE_CONFIG names
+    #[arg(long, global = true, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The name front's file; without one, or without a listen address in it, that front is off
+    #[arg(long, global = true, value_name = "FILE", default_value = "deploy/dns.json")]
+    dns: PathBuf,
+    /// How much is logged: off, error, warn, info, debug or trace
+    #[arg(long, global = true, default_value = "info")]
+    log: LevelFilter,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Serve (the default)
+    Serve,
+    /// Print the version
+    Version,
+    /// Read and check the configuration, and say what it holds
+    CheckConfig,
+}
+
+fn serve(config: Config) -> Result<(), String> {
+    net::set_up();
+    let stop = signal::stop_flag().map_err(|e| format!("signals: {e}"))?;
+    let listen = config.listen;
+    let gateway = Gateway::start(config).map_err(|e| format!("{listen}: {e}"))?;
+    gateway.finish(&stop);
+    log::info!("all that was taken has been answered");
+    Ok(())
+}
+
+fn run(cli: Cli) -> Result<(), String> {
+    let read = || config::read(cli.config.as_deref(), &cli.dns).map_err(|e| e.to_string());
+    match cli.command {
+        None | Some(Command::Serve) => serve(read()?),
+        Some(Command::Version) => {
+            println!("sagearch {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Some(Command::CheckConfig) => {
+            let config = read()?;
+            println!("{} listens on {}, its event bus is {}", config.name, config.listen, config.bus);
+            println!("{} events are known, {} descriptors", config.known.batch.len(), config.sockets);
+            match &config.dns {
+                Some(dns) => println!("names under {} are answered on {}", dns.domain, dns.listen),
+                None => println!("the name front is off"),
+            }
+            Ok(())
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    sagearch::log::start(cli.log);
+    match run(cli) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(cause) => {
+            log::error!("{cause}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/bus.rs
@@ -0,0 +1,292 @@
+//! The event bus: lists of stores and purges, by long poll.
+
+use super::gateway::Shared;
+use crate::interface::{ListKind, Member, MemberId, MemberState};
+use crate::settings::Names;
+use may::net::TcpStream;
+use serde::Deserialize;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long one poll is held. Short, so that a bus gone silent is called anew long before the 7 s after
+/// which its events count as told.
+const HOLD_MS: u64 = 1_000;
+const SILENT: Duration = Duration::from_millis(HOLD_MS + 500);
+const CONNECT: Duration = Duration::from_millis(400);
+const AGAIN: Duration = Duration::from_millis(20);
+/// A list of hundreds of stores fits well.
+const LARGEST: usize = 4 * 1024 * 1024;
+
+/// A stretch of numbered events, as a poll's answer and `known` hold it.
+#[derive(Debug, Deserialize)]
+pub struct Batch {
+    pub offset: u64,
+    pub batch: Vec<Event>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    pub offset: u64,
+    #[serde(default)]
+    pub topology: Option<Topology>,
+    #[serde(default)]
+    pub ban: Option<Ban>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Topology {
+    #[serde(default)]
+    pub reset: bool,
+    #[serde(default)]
+    pub instances: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    pub instance_id: String,
+    #[serde(default)]
+    pub host_port: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub machine_type: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub lifecycle: String,
+    #[serde(default)]
+    pub weight: f64,
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Ban {
+    #[serde(default)]
+    pub url: Option<String>,
+    #[serde(default)]
+    pub tag: Option<u64>,
+    #[serde(default)]
+    pub ts: u64,
+}
+
+/// The number under which a store's name is known here, the same at every gateway.
+pub fn member_id(name: &str) -> MemberId {
+    let hex = name.rsplit('-').next().unwrap_or(name);
+    let fnv = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    MemberId(u32::from_str_radix(hex, 16).unwrap_or_else(|_| name.bytes().fold(0x811c_9dc5, fnv)))
+}
+
+/// A line of the list, with `started` already on the monotonic clock. An unknown state counts as gone:
+/// nothing new may go where nobody said that it serves.
+pub fn member(line: &Instance, names: &Names, started: Option<u64>) -> Member {
+    Member {
+        id: member_id(&line.instance_id),
+        role: names.role(&line.machine_type),
+        zone: names.zones.get(&line.zone).copied(),
+        cell: line.cell,
+        weight: line.weight,
+        started,
+        state: match line.lifecycle.as_str() {
+            "up" => MemberState::Serving,
+            "draining" => MemberState::Draining,
+            _ => MemberState::Gone,
+        },
+    }
+}
+
+/// What a poll's answer begins with: where its body starts, and how long that is if told.
+#[derive(Debug, PartialEq)]
+struct Head {
+    status: u16,
+    body: usize,
+    length: Option<usize>,
+    chunked: bool,
+    keep: bool,
+}
+
+fn head(bytes: &[u8]) -> Result<Option<Head>, httparse::Error> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    let httparse::Status::Complete(body) = response.parse(bytes)? else { return Ok(None) };
+    let mut head = Head {
+        status: response.code.unwrap_or(0),
+        body,
+        length: None,
+        chunked: false,
+        keep: response.version == Some(1),
+    };
+    for header in response.headers.iter() {
+        let value = String::from_utf8_lossy(header.value).trim().to_ascii_lowercase();
+        match header.name.to_ascii_lowercase().as_str() {
+            "content-length" => head.length = value.parse().ok(),
+            "transfer-encoding" => head.chunked = value.contains("chunked"),
+            "connection" => head.keep = head.keep && !value.contains("close"),
+            _ => {}
+        }
+    }
+    Ok(Some(head))
+}
+
+/// Joins a chunked body. `None`: it is not whole yet.
+fn unchunk(mut bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, httparse::InvalidChunkSize> {
+    let (mut joined, whole) = (Vec::new(), bytes.len());
+    loop {
+        let httparse::Status::Complete((start, size)) = httparse::parse_chunk_size(bytes)? else {
+            return Ok(None);
+        };
+        let size =
+            usize::try_from(size).ok().filter(|size| *size <= LARGEST).ok_or(httparse::InvalidChunkSize)?;
+        if bytes.len() < start + size + 2 {
+            return Ok(None);
+        }
+        joined.extend_from_slice(&bytes[start..start + size]);
+        bytes = &bytes[start + size + 2..];
+        if size == 0 {
+            return Ok(Some((joined, whole - bytes.len())));
+        }
+    }
+}
+
+fn bad(cause: impl ToString) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, cause.to_string())
+}
+
+/// Reads one answer; `buffer` keeps what came after it.
+fn answer(stream: &mut impl Read, buffer: &mut Vec<u8>) -> io::Result<(Vec<u8>, bool)> {
+    let mut piece = vec![0; 16 * 1024];
+    let mut ended = false;
+    loop {
+        if let Some(head) = head(buffer).map_err(bad)? {
+            let rest = &buffer[head.body..];
+            let body = match head.length {
+                _ if head.chunked => unchunk(rest).map_err(bad)?,
+                Some(length) => (rest.len() >= length).then(|| (rest[..length].to_vec(), length)),
+                None => ended.then(|| (rest.to_vec(), rest.len())),
+            };
+            if let Some((body, used)) = body {
+                buffer.drain(..head.body + used);
+                if head.status != 200 {
+                    return Err(bad(format!("status {}", head.status)));
+                }
+                return Ok((body, head.keep && !ended));
+            }
+        }
+        if ended {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        if buffer.len() > LARGEST {
+            return Err(bad("answer too large"));
+        }
+        let read = stream.read(&mut piece)?;
+        buffer.extend_from_slice(&piece[..read]);
+        ended = read == 0;
+    }
+}
+
+fn connect(at: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&at, CONNECT)?;
+    stream.set_nodelay(true)?;
+    // A bus that has gone silent is called anew: what it has to tell counts as told all the same.
+    stream.set_read_timeout(Some(SILENT))?;
+    stream.set_write_timeout(Some(SILENT))?;
+    Ok(stream)
+}
+
+/// Polls for ever and hands every event on. A lost connection is opened again at once.
+pub fn follow(shared: &Shared, at: SocketAddr, mut last: u64) {
+    let mut line: Option<(TcpStream, Vec<u8>)> = None;
+    let mut told = false;
+    loop {
+        let fresh = line.is_none();
+        let mut poll = || -> io::Result<Batch> {
+            let (mut stream, mut buffer) = match line.take() {
+                Some(line) => line,
+                None => (connect(at)?, Vec::new()),
+            };
+            let ask = format!("GET /bus/read?from={last}&hold={HOLD_MS} HTTP/1.1\r\nHost: {at}\r\n\r\n");
+            stream.write_all(ask.as_bytes())?;
+            let (body, keep) = answer(&mut stream, &mut buffer)?;
+            if keep {
+                line = Some((stream, buffer));
+            }
+            serde_json::from_slice(&body).map_err(bad)
+        };
+        match poll() {
+            Ok(batch) => {
+                if std::mem::take(&mut told) {
+                    log::info!("event bus: connected again");
+                }
+                last = last.max(batch.offset);
+                shared.apply(batch);
+            }
+            Err(e) => {
+                // Once a trouble, not once a try; and one that refuses at once is not asked in a busy loop.
+                if !std::mem::replace(&mut told, true) {
+                    log::warn!("event bus: {e}; calling anew");
+                }
+                if fresh {
+                    may::coroutine::sleep(AGAIN);
+                }
+            }
+        }
+    }
+}
+
+/// Which part of the list an event holds: the first one, and one that says so, holds all of it.
+pub fn list_kind(topology: &Topology, first: bool) -> ListKind {
+    if topology.reset || first { ListKind::Complete } else { ListKind::Changes }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::length("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiX", "hi", true, 1)]
+    #[case::chunked(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n",
+        "hi",
+        true,
+        0
+    )]
+    #[case::to_the_end("HTTP/1.0 200 OK\r\n\r\nhi", "hi", false, 0)]
+    #[case::closes("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", "hi", false, 0)]
+    fn answers_are_read_whole_in_single_bytes(
+        #[case] text: &str,
+        #[case] body: &str,
+        #[case] keep: bool,
+        #[case] left: usize,
+    ) {
+        struct Slow<'a>(&'a [u8]);
+        impl Read for Slow<'_> {
+            fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+                let Some((first, rest)) = self.0.split_first() else { return Ok(0) };
+                (to[0], self.0) = (*first, rest);
+                Ok(1)
+            }
+        }
+        let mut stream = Slow(text.as_bytes());
+        let got = answer(&mut stream, &mut Vec::new()).unwrap();
+        assert_eq!((String::from_utf8(got.0).unwrap().as_str(), got.1, stream.0.len()), (body, keep, left));
+    }
+
+    #[rstest]
+    #[case::status("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")]
+    #[case::torn("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi")]
+    #[case::no_http("yes\r\n\r\n")]
+    #[case::huge_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffff\r\n")]
+    fn bad_answers_are_errors(#[case] text: &str) {
+        assert!(answer(&mut text.as_bytes(), &mut Vec::new()).is_err());
+    }
+
+    #[rstest]
+    #[case("s-00c41f7a", 0x00c4_1f7a)]
+    #[case("ff", 0xff)]
+    fn names_with_a_number_keep_it(#[case] name: &str, #[case] id: u32) {
+        assert_eq!(member_id(name), MemberId(id));
+        assert_ne!(member_id("box one"), member_id("box two"));
+    }
+}
--- /dev/null
+++ b/src/net/gateway.rs
@@ -0,0 +1,306 @@
+//! The gateway's parts put together: the broker, the stores and the clocks, and the path of one request
+//! that both fronts share.
+
+use super::bus::{self, Batch, Event, list_kind};
+use super::clock::Clock;
+use super::store::{Answered, End, Limits, Pull, Reply, Stores};
+use super::{dns, http, lock};
+use crate::broker::{Broker, Next, Order, Verdict, Waiter};
+use crate::config::Config;
+use crate::interface::*;
+use crate::settings::Names;
+use may::net::{TcpListener, TcpStream};
+use may::sync::mpsc;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// The module's timers run this often; it keeps twice its tick of 2 ms in hand before each deadline.
+const TICK: Duration = Duration::from_millis(2);
+/// How often clients are looked at for having left, and connections to stores for being idle.
+const WATCH_EVERY: u32 = 10;
+const SWEEP_EVERY: u32 = 250;
+/// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
+const LINGER: Duration = Duration::from_millis(1_000);
+const STREAMS: usize = 100;
+const CONNECT: Duration = Duration::from_millis(400);
+const IDLE: Duration = Duration::from_secs(20);
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub enum Note {
+    Verdict(Verdict),
+    Reply {
+        attempt: u32,
+        reply: Reply,
+    },
+    /// It is time to see whether the client is still there.
+    Look,
+}
+
+/// Where a request's coroutine waits. Sending never blocks.
+#[derive(Clone)]
+pub struct Mailbox(mpsc::Sender<Note>);
+
+impl Waiter for Mailbox {
+    fn deliver(&self, verdict: Verdict) {
+        let _ = self.0.send(Note::Verdict(verdict));
+    }
+}
+
+impl Answered for Mailbox {
+    fn reply(&self, attempt: u32, reply: Reply) {
+        let _ = self.0.send(Note::Reply { attempt, reply });
+    }
+}
+
+/// How a request's attempts are carried out.
+pub enum Work {
+    Pull(Pull),
+    /// A look-up by name: the picked member is only asked whether it is there.
+    Check,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum Final {
+    Served(Reply),
+    Checked(Order),
+    Refused(Option<Micros>),
+    Failed,
+    /// The client left; nothing is owed.
+    Gone,
+}
+
+/// What all coroutines of a gateway share.
+pub struct Shared {
+    pub clock: Clock,
+    pub names: Names,
+    pub settings: Settings,
+    broker: Arc<Mutex<Broker<Mailbox>>>,
+    stores: Arc<Stores<Mailbox>>,
+    /// Requests whose clients wait. Their ids come from outside and may repeat, so they have a number.
+    watched: Mutex<HashMap<u64, Mailbox>>,
+    watches: AtomicU64,
+    listed: AtomicBool,
+    open: Arc<AtomicUsize>,
+}
+
+/// A request that has been taken and not yet answered.
+pub struct Open(Arc<AtomicUsize>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Shared {
+    pub fn broker(&self) -> MutexGuard<'_, Broker<Mailbox>> {
+        lock(&self.broker)
+    }
+
+    pub fn address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.stores.address(member)
+    }
+
+    /// Counts a request as open until what is returned is dropped.
+    pub fn taken(&self) -> Open {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        Open(self.open.clone())
+    }
+
+    /// Takes in events of the bus.
+    pub fn apply(&self, batch: Batch) {
+        for Event { topology, ban, .. } in batch.batch {
+            if let Some(topology) = topology {
+                let first = !self.listed.swap(true, Ordering::SeqCst);
+                let kind = list_kind(&topology, first);
+                if kind == ListKind::Complete {
+                    self.stores.all_gone();
+                }
+                let mut members = Vec::new();
+                for line in &topology.instances {
+                    let member = bus::member(line, &self.names, self.clock.at(line.started_at_ms));
+                    let gone = member.state == MemberState::Gone;
+                    self.stores.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
+                    log::info!("{} is {}", line.instance_id, line.lifecycle);
+                    members.push(member);
+                }
+                self.broker().members(self.clock.now(), kind, members);
+            }
+            if let Some(ban) = ban {
+                log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
+                let ago = self.clock.ago(ban.ts);
+                self.broker().purged(self.clock.now(), ban.url, ban.tag, ago);
+            }
+        }
+    }
+
+    /// Takes a request from its arrival to its end. Returns as soon as the end is known.
+    pub fn carry(&self, request: Request, work: &Work, client: Option<&TcpStream>) -> Final {
+        let (mail, notes) = mpsc::channel();
+        let mailbox = Mailbox(mail);
+        let watch = client.map(|_| self.watches.fetch_add(1, Ordering::Relaxed));
+        if let Some(watch) = watch {
+            lock(&self.watched).insert(watch, mailbox.clone());
+        }
+        let end = self.run(request, work, client, &mailbox, &notes);
+        if let Some(watch) = watch {
+            lock(&self.watched).remove(&watch);
+        }
+        end
+    }
+
+    fn run(
+        &self,
+        request: Request,
+        work: &Work,
+        client: Option<&TcpStream>,
+        mailbox: &Mailbox,
+        notes: &mpsc::Receiver<Note>,
+    ) -> Final {
+        let id = request.id;
+        let mut verdict = self.broker().pick(self.clock.now(), request, mailbox.clone());
+        loop {
+            let mut out = None;
+            match verdict.take() {
+                Some(Verdict::Attempt(order)) => {
+                    let ticket = match work {
+                        Work::Pull(pull) => self.stores.pull(&order, pull, mailbox.clone()),
+                        Work::Check => self.stores.echo(&order, mailbox.clone()),
+                    };
+                    out = Some((order, ticket));
+                }
+                Some(Verdict::Refused { backoff }) => return Final::Refused(backoff),
+                Some(Verdict::Failed) => return Final::Failed,
+                None => {}
+            }
+            while verdict.is_none() {
+                match notes.recv() {
+                    // A timer decided: the attempt that is still out is given up before another goes out.
+                    Ok(Note::Verdict(next)) => {
+                        out.take().into_iter().for_each(|(_, ticket)| ticket.kill(true));
+                        verdict = Some(next);
+                    }
+                    Ok(Note::Reply { attempt, reply }) => {
+                        let Some((order, _)) = out.take_if(|(order, _)| order.attempt == attempt) else {
+                            continue;
+                        };
+                        match self.ended(&order, work, &reply) {
+                            Next::Done if reply.end == End::Yes => return Final::Checked(order),
+                            Next::Done => return Final::Served(reply),
+                            Next::Verdict(next) => verdict = Some(next),
+                            Next::Wait => {}
+                        }
+                    }
+                    Ok(Note::Look) if client.is_none_or(still_there) => {}
+                    Ok(Note::Look) | Err(_) => {
+                        out.take().into_iter().for_each(|(_, ticket)| ticket.kill(false));
+                        self.broker().abandon(self.clock.now(), id);
+                        return Final::Gone;
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self, order: &Order, work: &Work, reply: &Reply) -> Next {
+        let now = self.clock.now();
+        let outcome = match (work, reply.end.outcome()) {
+            (Work::Check, Outcome::Checked) => return self.broker().checked(now, order),
+            // An answer of the other kind proves nothing.
+            (Work::Check, Outcome::Served) | (Work::Pull(_), Outcome::Checked) => Outcome::Failed,
+            (_, outcome) => outcome,
+        };
+        self.broker().report(now, order.request, order.attempt, outcome, reply.detail, reply.load())
+    }
+
+    fn watch(&self) {
+        lock(&self.watched).values().for_each(|mailbox| {
+            let _ = mailbox.0.send(Note::Look);
+        });
+    }
+}
+
+/// Whether a client that waits has neither closed nor reset its connection.
+fn still_there(stream: &TcpStream) -> bool {
+    match stream.inner().peek(&mut [0]) {
+        Ok(read) => read > 0,
+        Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
+/// A gateway that listens.
+pub struct Gateway {
+    pub shared: Arc<Shared>,
+    pub listen: SocketAddr,
+    pub dns: Option<SocketAddr>,
+}
+
+impl Gateway {
+    /// Applies what is known, then listens.
+    pub fn start(config: Config) -> io::Result<Gateway> {
+        let Config { name, listen, seed, sockets, bus, known, settings, names, dns, .. } = config;
+        let clock = Clock::default();
+        let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
+        let asked = broker.clone();
+        let gate = Arc::new(move |order: &Order| lock(&asked).may_send(order));
+        // Each connection to a store takes two descriptors, one for each way.
+        let limits = Limits { streams: STREAMS, connections: sockets / 8, connect: CONNECT, idle: IDLE };
+        let shared = Arc::new(Shared {
+            clock,
+            names,
+            settings,
+            broker,
+            stores: Stores::new(limits, gate),
+            watched: Mutex::default(),
+            watches: AtomicU64::new(0),
+            listed: AtomicBool::new(false),
+            open: Arc::default(),
+        });
+        let last = known.offset;
+        shared.apply(known);
+        let listener = TcpListener::bind(listen)?;
+        let listen = listener.local_addr()?;
+        let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
+        let most = sockets * 2 / 5;
+        let serving = shared.clone();
+        super::spawn(move || http::listen(&serving, &listener, most));
+        let following = shared.clone();
+        super::spawn(move || bus::follow(&following, bus, last));
+        let timed = shared.clone();
+        super::spawn(move || {
+            for round in 0_u32.. {
+                may::coroutine::sleep(TICK);
+                timed.broker().tick(timed.clock.now());
+                if round.is_multiple_of(WATCH_EVERY) {
+                    timed.watch();
+                }
+                if round.is_multiple_of(SWEEP_EVERY) {
+                    timed.stores.sweep();
+                }
+            }
+        });
+        log::info!("{name} serves at {listen}");
+        Ok(Gateway { shared, listen, dns })
+    }
+
+    /// Returns once the flag has been set, requests have had time to come to an end, and all taken ones
+    /// are answered. Runs on the caller's own thread.
+    pub fn finish(&self, stop: &AtomicBool) {
+        let mut since: Option<Instant> = None;
+        loop {
+            std::thread::sleep(Duration::from_millis(20));
+            if stop.load(Ordering::SeqCst) {
+                let since = *since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= LINGER && self.shared.open.load(Ordering::SeqCst) == 0 {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/store.rs
@@ -0,0 +1,616 @@
+//! The line protocol to stores, parents and the origin, over connections that carry many requests.
+//!
+//! Each connection has a writer coroutine, which connects and then takes what is queued, and a reader,
+//! which hands every answer to the request that waits for it. An attempt ends by proof: one of which no
+//! byte was written never ran; one that was written and got no answer may have.
+
+use super::lock;
+use crate::broker::Order;
+use crate::interface::*;
+use may::net::TcpStream;
+use may::sync::mpsc;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The longest line of an answer, and the largest object.
+const LONGEST_LINE: usize = 2_048;
+const LARGEST: usize = 240_000;
+/// Withdrawn ids of which an answer may still be under way.
+const KILLED_KEPT: usize = 256;
+/// A store that takes no bytes for this long has its connection closed.
+const WRITE_STUCK: Duration = Duration::from_secs(2);
+const PIECE: usize = 32 * 1024;
+
+/// How an attempt or a check ended, as far as the wire tells.
+#[derive(Clone, Debug, PartialEq)]
+pub enum End {
+    Ok(Vec<u8>),
+    Current,
+    Nothing,
+    Refused,
+    Error,
+    Stale,
+    Yes,
+    No,
+    /// No connection came up.
+    Unreachable,
+    /// The connection broke with the attempt out.
+    Reset,
+    /// It was never written: the drain or purge check just before said no, or no connection was free.
+    NotSent,
+}
+
+impl End {
+    /// What it proves.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            End::Ok(_) | End::Current => Outcome::Served,
+            End::Nothing => Outcome::Miss,
+            End::Refused | End::No => Outcome::Full,
+            End::Error => Outcome::Failed,
+            End::Stale | End::NotSent => Outcome::NotSent,
+            End::Yes => Outcome::Checked,
+            End::Unreachable => Outcome::Unreachable,
+            End::Reset => Outcome::Reset,
+        }
+    }
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub end: End,
+    pub detail: Detail,
+    pub inflight: Option<f64>,
+    pub busy: Option<f64>,
+    pub etag: Option<String>,
+}
+
+impl Reply {
+    fn bare(end: End) -> Reply {
+        Reply { end, detail: Detail::Untold, inflight: None, busy: None, etag: None }
+    }
+
+    pub fn load(&self) -> Load {
+        Load { inflight: self.inflight, busy: self.busy }
+    }
+}
+
+/// Where answers go.
+pub trait Answered: Clone + Send + 'static {
+    fn reply(&self, attempt: u32, reply: Reply);
+}
+
+/// The line before an answer's bytes.
+#[derive(Debug, PartialEq)]
+struct AnswerLine {
+    id: u64,
+    reply: Reply,
+    length: usize,
+}
+
+const NOTES: [(&str, Detail); 10] = [
+    ("TCP_HIT", Detail::Hit),
+    ("TCP_MISS", Detail::Filled),
+    ("TCP_MISS_ROOT", Detail::FilledByOrigin),
+    ("TCP_JOIN", Detail::Joined),
+    ("TCP_STALE", Detail::Stale),
+    ("PEER_DENY", Detail::SourceRefused),
+    ("PEER_DEAD", Detail::SourceLost),
+    ("PEER_MISS", Detail::SourceLacks),
+    ("FILL_FULL", Detail::NoFillPlace),
+    ("ROOT_FAIL", Detail::OriginFailed),
+];
+
+/// Reads `ID WORD FIELDS LENGTH`, without its line end. The bytes are filled in later.
+fn answer_line(line: &[u8]) -> Result<AnswerLine, String> {
+    let text = std::str::from_utf8(line).map_err(|e| e.to_string())?;
+    let bad = || format!("answer line {text:?}");
+    let mut words = text.split(' ');
+    let (Some(id), Some(word), Some(fields), Some(length), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(bad());
+    };
+    let id = u64::from_str_radix(id, 16).map_err(|_| bad())?;
+    let length: usize = length.parse().ok().filter(|length| *length <= LARGEST).ok_or_else(bad)?;
+    let mut reply = Reply::bare(match word {
+        "ok" => End::Ok(Vec::new()),
+        "current" => End::Current,
+        "nothing" => End::Nothing,
+        "refused" => End::Refused,
+        "error" => End::Error,
+        "stale" => End::Stale,
+        "yes" => End::Yes,
+        "no" => End::No,
+        _ => return Err(bad()),
+    });
+    for field in fields.split(',').filter(|field| *field != "-") {
+        let (name, value) = field.split_once('=').ok_or_else(bad)?;
+        match name {
+            "res" => {
+                let note = NOTES.iter().find(|(note, _)| *note == value);
+                reply.detail = note.map_or(Detail::Untold, |(_, detail)| *detail);
+            }
+            "etag" => reply.etag = Some(value.into()),
+            "gauges" => {
+                for (name, value) in value.split(';').filter_map(|gauge| gauge.split_once(':')) {
+                    let value = value.parse::<f64>().ok().filter(|value| value.is_finite());
+                    match name {
+                        "inflight" | "rif" => reply.inflight = value,
+                        "util" | "busy" => reply.busy = value,
+                        _ => {}
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(AnswerLine { id, reply, length })
+}
+
+/// Takes answers out of bytes that arrive in pieces.
+#[derive(Default)]
+struct Answers {
+    line: Vec<u8>,
+    open: Option<(AnswerLine, Vec<u8>)>,
+}
+
+impl Answers {
+    fn take(&mut self, mut bytes: &[u8], done: &mut Vec<(u64, Reply)>) -> Result<(), String> {
+        while !bytes.is_empty() {
+            if let Some((head, body)) = &mut self.open {
+                let (now, rest) = bytes.split_at(bytes.len().min(head.length + 2 - body.len()));
+                body.extend_from_slice(now);
+                bytes = rest;
+                if body.len() == head.length + 2 {
+                    if !body.ends_with(b"\r\n") {
+                        return Err(format!("answer {:016x} is longer than told", head.id));
+                    }
+                    body.truncate(head.length);
+                    let Some((head, body)) = self.open.take() else { return Ok(()) };
+                    let mut reply = head.reply;
+                    if let End::Ok(to) = &mut reply.end {
+                        *to = body;
+                    }
+                    done.push((head.id, reply));
+                }
+                continue;
+            }
+            let end = bytes.iter().position(|byte| *byte == b'\n');
+            let (now, rest) = bytes.split_at(end.map_or(bytes.len(), |end| end + 1));
+            self.line.extend_from_slice(now);
+            bytes = rest;
+            if self.line.len() > LONGEST_LINE {
+                return Err("answer line too long".into());
+            }
+            if end.is_some() {
+                let line = self.line.strip_suffix(b"\r\n").ok_or("answer line without CR LF")?;
+                let head = answer_line(line)?;
+                let body = Vec::with_capacity(head.length + 2);
+                self.open = Some((head, body));
+                self.line.clear();
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What a request is on this wire, whoever asked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pull {
+    pub class: String,
+    pub object: String,
+    pub part: Option<String>,
+    pub token: Option<String>,
+    pub have: Option<String>,
+    pub body: Vec<u8>,
+}
+
+impl Pull {
+    /// The bytes of one attempt.
+    fn bytes(&self, order: &Order, name: impl Fn(MemberId) -> Option<String>) -> Vec<u8> {
+        let ms = |span: Micros| (span / 1_000).max(1);
+        let mut fields = vec![format!("kind={}", self.class), format!("obj={}", self.object)];
+        let mut add = |key: &str, value: Option<String>| {
+            fields.extend(value.map(|value| format!("{key}={value}")));
+        };
+        add("seg", self.part.clone());
+        add("ms", Some(ms(order.timeout).to_string()));
+        add("token", self.token.clone());
+        if let Some(fill) = order.fill {
+            // A member that is named as its own source fills nothing: the same as none.
+            add("src", fill.source.filter(|source| *source != order.member).and_then(name));
+            add("keep", (fill.keep > 0).then(|| fill.keep.to_string()));
+            // Rounded down: a copy as old as the purge must not slip in by a fraction.
+            add("maxage", fill.max_age.map(|age| ms(age).to_string()));
+            let flags = [(fill.join, "ride"), (fill.held_only, "have-only"), (fill.renew, "update")];
+            let flags: Vec<&str> = flags.iter().filter(|(set, _)| *set).map(|(_, word)| *word).collect();
+            add("flags", (!flags.is_empty()).then(|| flags.join("+")));
+        }
+        add("have", self.have.clone());
+        let head = format!("PULL {:016x} {} {}\r\n", order.request.0, fields.join(","), self.body.len());
+        [head.as_bytes(), &self.body, b"\r\n"].concat()
+    }
+}
+
+enum Out {
+    Send { id: u64, order: Order, bytes: Vec<u8> },
+    Kill(u64),
+    Close,
+}
+
+struct Pending<A> {
+    attempt: u32,
+    to: A,
+    written: bool,
+}
+
+struct ConnState<A> {
+    pending: HashMap<u64, Pending<A>>,
+    /// Ids given up here: an old answer may still come, so the same id goes by another connection.
+    killed: VecDeque<u64>,
+    /// Takes nothing new.
+    retired: bool,
+    used: Instant,
+    heard: Instant,
+}
+
+struct Conn<A> {
+    queue: mpsc::Sender<Out>,
+    state: Mutex<ConnState<A>>,
+}
+
+impl<A: Answered> Conn<A> {
+    /// Ends all that is open here: what was written may have run.
+    fn fail_all(&self, unwritten: &End) {
+        let ended: Vec<Pending<A>> = {
+            let mut state = lock(&self.state);
+            state.retired = true;
+            state.pending.drain().map(|(_, pending)| pending).collect()
+        };
+        for pending in ended {
+            let end = if pending.written { End::Reset } else { unwritten.clone() };
+            pending.to.reply(pending.attempt, Reply::bare(end));
+        }
+    }
+
+    fn deliver(&self, id: u64, reply: Reply) {
+        let pending = lock(&self.state).pending.remove(&id);
+        if let Some(pending) = pending {
+            pending.to.reply(pending.attempt, reply);
+        }
+    }
+}
+
+struct Store<A> {
+    name: String,
+    at: Option<SocketAddr>,
+    gone: bool,
+    conns: Vec<Arc<Conn<A>>>,
+}
+
+/// Whether an order may still go out, asked as its first byte is about to be written.
+pub type Gate = Arc<dyn Fn(&Order) -> bool + Send + Sync>;
+
+pub struct Limits {
+    pub streams: usize,
+    pub connections: usize,
+    pub connect: Duration,
+    pub idle: Duration,
+}
+
+/// All stores by id, with their connections.
+pub struct Stores<A> {
+    table: Mutex<BTreeMap<MemberId, Store<A>>>,
+    limits: Limits,
+    gate: Gate,
+}
+
+/// An attempt that is out, to be withdrawn.
+pub struct Ticket<A> {
+    conn: Option<Arc<Conn<A>>>,
+    id: u64,
+    sent: Instant,
+}
+
+impl<A: Answered> Ticket<A> {
+    /// Gives the attempt up. `silent`: it was waited for in vain; a connection that has said nothing since
+    /// may lead to a machine that is gone, so new requests open another one.
+    pub fn kill(self, silent: bool) {
+        let Some(conn) = self.conn else { return };
+        let mut state = lock(&conn.state);
+        let Some(pending) = state.pending.remove(&self.id) else { return };
+        if silent && pending.written && state.heard < self.sent {
+            state.retired = true;
+        }
+        if pending.written {
+            if state.killed.len() >= KILLED_KEPT {
+                state.killed.pop_front();
+            }
+            state.killed.push_back(self.id);
+            drop(state);
+            let _ = conn.queue.send(Out::Kill(self.id));
+        }
+    }
+}
+
+impl<A: Answered> Stores<A> {
+    pub fn new(limits: Limits, gate: Gate) -> Arc<Self> {
+        Arc::new(Stores { table: Mutex::default(), limits, gate })
+    }
+
+    /// Takes in a line of the list. Connections to another address than the new one are given up.
+    pub fn list(&self, id: MemberId, name: &str, at: Option<SocketAddr>, gone: bool) {
+        let mut table = lock(&self.table);
+        let store =
+            table.entry(id).or_insert_with(|| Store { name: name.into(), at, gone, conns: Vec::new() });
+        store.gone = gone;
+        if at.is_some() && store.at != at {
+            store.at = at;
+            store.conns.iter().for_each(|conn| lock(&conn.state).retired = true);
+        }
+    }
+
+    /// All not named in a complete list are gone.
+    pub fn all_gone(&self) {
+        lock(&self.table).values_mut().for_each(|store| store.gone = true);
+    }
+
+    pub fn address(&self, id: MemberId) -> Option<SocketAddr> {
+        lock(&self.table).get(&id).and_then(|store| store.at)
+    }
+
+    /// Sends an attempt.
+    pub fn pull(self: &Arc<Self>, order: &Order, pull: &Pull, to: A) -> Ticket<A> {
+        let names = |id: MemberId| lock(&self.table).get(&id).map(|store| store.name.clone());
+        self.send(order, pull.bytes(order, names), to)
+    }
+
+    /// Sends a check.
+    pub fn echo(self: &Arc<Self>, order: &Order, to: A) -> Ticket<A> {
+        self.send(order, format!("ECHO {:016x}\r\n", order.request.0).into_bytes(), to)
+    }
+
+    fn send(self: &Arc<Self>, order: &Order, bytes: Vec<u8>, to: A) -> Ticket<A> {
+        let id = order.request.0;
+        let sent = Instant::now();
+        let Some(conn) = self.connection(order.member, id) else {
+            to.reply(order.attempt, Reply::bare(End::NotSent));
+            return Ticket { conn: None, id, sent };
+        };
+        {
+            let mut state = lock(&conn.state);
+            state.used = sent;
+            state.pending.insert(id, Pending { attempt: order.attempt, to, written: false });
+        }
+        let _ = conn.queue.send(Out::Send { id, order: order.clone(), bytes });
+        Ticket { conn: Some(conn), id, sent }
+    }
+
+    /// A connection with room, opened if there is none.
+    fn connection(self: &Arc<Self>, member: MemberId, id: u64) -> Option<Arc<Conn<A>>> {
+        let mut table = lock(&self.table);
+        let total: usize = table.values().map(|store| store.conns.len()).sum();
+        let store = table.get_mut(&member)?;
+        let fits = |conn: &&Arc<Conn<A>>| {
+            let state = lock(&conn.state);
+            !state.retired
+                && state.pending.len() < self.limits.streams
+                && !state.pending.contains_key(&id)
+                && !state.killed.contains(&id)
+        };
+        if let Some(conn) = store.conns.iter().find(fits) {
+            return Some(conn.clone());
+        }
+        // Descriptors are bounded: a full table refuses.
+        if total >= self.limits.connections {
+            return None;
+        }
+        let at = store.at?;
+        let (queue, work) = mpsc::channel();
+        let now = Instant::now();
+        let state = ConnState {
+            pending: HashMap::new(),
+            killed: VecDeque::new(),
+            retired: false,
+            used: now,
+            heard: now,
+        };
+        let conn = Arc::new(Conn { queue, state: Mutex::new(state) });
+        store.conns.push(conn.clone());
+        let (stores, ours) = (self.clone(), conn.clone());
+        super::spawn(move || {
+            stores.run(&ours, at, &work);
+            if let Some(store) = lock(&stores.table).get_mut(&member) {
+                store.conns.retain(|conn| !Arc::ptr_eq(conn, &ours));
+            }
+        });
+        Some(conn)
+    }
+
+    /// A connection's writer, from its opening to its end.
+    fn run(&self, conn: &Arc<Conn<A>>, at: SocketAddr, work: &mpsc::Receiver<Out>) {
+        let open = || -> io::Result<(TcpStream, TcpStream)> {
+            let stream = TcpStream::connect_timeout(&at, self.limits.connect)?;
+            stream.set_nodelay(true)?;
+            stream.set_write_timeout(Some(WRITE_STUCK))?;
+            Ok((stream.try_clone()?, stream))
+        };
+        let (reader, mut writer) = match open() {
+            Ok(both) => both,
+            Err(e) => {
+                log::debug!("store {at}: {e}");
+                return conn.fail_all(&End::Unreachable);
+            }
+        };
+        lock(&conn.state).heard = Instant::now();
+        let ours = conn.clone();
+        super::spawn(move || {
+            let mut reader = reader;
+            if let Err(e) = read_answers(&ours, &mut reader) {
+                log::debug!("store {at}: {e}");
+            }
+            // A reset by a dying process, or a bad line: nothing more comes here.
+            ours.fail_all(&End::Unreachable);
+            let _ = reader.shutdown(Shutdown::Both);
+            let _ = ours.queue.send(Out::Close);
+        });
+        while let Ok(out) = work.recv() {
+            let bytes = match out {
+                Out::Close => break,
+                Out::Kill(id) => format!("KILL {id:016x}\r\n").into_bytes(),
+                Out::Send { id, order, bytes } => {
+                    // Rules on drains and purges: a send's time counts from its first byte, and the
+                    // connection may have taken long to come up.
+                    let allowed = (self.gate)(&order);
+                    let current = {
+                        let mut state = lock(&conn.state);
+                        let pending = state.pending.get_mut(&id).filter(|it| it.attempt == order.attempt);
+                        pending.map(|pending| pending.written = allowed).is_some()
+                    };
+                    match (current, allowed) {
+                        (false, _) => continue,
+                        (true, false) => {
+                            conn.deliver(id, Reply::bare(End::NotSent));
+                            continue;
+                        }
+                        (true, true) => bytes,
+                    }
+                }
+            };
+            if let Err(e) = writer.write_all(&bytes) {
+                log::debug!("store {at}: {e}");
+                break;
+            }
+        }
+        conn.fail_all(&End::Unreachable);
+        let _ = writer.shutdown(Shutdown::Both);
+    }
+
+    /// Closes connections that are idle for long, or that take nothing new and have nothing open.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        let mut close = Vec::new();
+        {
+            let mut table = lock(&self.table);
+            for store in table.values_mut() {
+                for conn in &store.conns {
+                    let mut state = lock(&conn.state);
+                    let over = state.retired || store.gone || now - state.used > self.limits.idle;
+                    if over && state.pending.is_empty() {
+                        state.retired = true;
+                        close.push(conn.clone());
+                    }
+                }
+            }
+            table.retain(|_, store| !store.gone || !store.conns.is_empty());
+        }
+        for conn in close {
+            let _ = conn.queue.send(Out::Close);
+        }
+    }
+}
+
+fn read_answers<A: Answered>(conn: &Conn<A>, stream: &mut TcpStream) -> io::Result<()> {
+    let (mut piece, mut answers, mut done) = (vec![0; PIECE], Answers::default(), Vec::new());
+    loop {
+        let read = stream.read(&mut piece)?;
+        if read == 0 {
+            return Ok(());
+        }
+        lock(&conn.state).heard = Instant::now();
+        let bad = answers.take(&piece[..read], &mut done);
+        for (id, reply) in done.drain(..) {
+            conn.deliver(id, reply);
+        }
+        bad.map_err(|text| io::Error::new(io::ErrorKind::InvalidData, text))?;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::hit("a1 ok res=TCP_HIT,etag=4be,made=17,ttfb=0 3\r\nx\ny\r\n", End::Ok(b"x\ny".to_vec()), Detail::Hit)]
+    #[case::root("a1 ok res=TCP_MISS_ROOT 0\r\n\r\n", End::Ok(vec![]), Detail::FilledByOrigin)]
+    #[case::current("a1 current etag=4be 0\r\n\r\n", End::Current, Detail::Untold)]
+    #[case::miss("a1 nothing res=PEER_MISS 0\r\n\r\n", End::Nothing, Detail::SourceLacks)]
+    #[case::new_note("a1 refused res=LATER 0\r\n\r\n", End::Refused, Detail::Untold)]
+    #[case::stale("a1 stale - 0\r\n\r\n", End::Stale, Detail::Untold)]
+    #[case::check("a1 yes gauges=inflight:7;util:0.5 0\r\n\r\n", End::Yes, Detail::Untold)]
+    fn answers_come_in_any_pieces(#[case] text: &str, #[case] end: End, #[case] detail: Detail) {
+        for size in 1..=text.len() {
+            let (mut answers, mut done) = (Answers::default(), Vec::new());
+            text.as_bytes().chunks(size).for_each(|piece| answers.take(piece, &mut done).unwrap());
+            let [(0xa1, reply)] = &done[..] else { panic!("{done:?}") };
+            assert_eq!((&reply.end, reply.detail), (&end, detail));
+        }
+    }
+
+    #[rstest]
+    #[case::no_number("zz ok - 0\r\n")]
+    #[case::unknown_word("a1 fine - 0\r\n")]
+    #[case::too_large("a1 ok - 240001\r\n")]
+    #[case::minus("a1 ok - -1\r\n")]
+    #[case::missing_word("a1 ok 0\r\n")]
+    #[case::bare_line_feed("a1 ok - 0\n")]
+    #[case::torn_field("a1 ok res 0\r\n")]
+    #[case::longer_than_told("a1 ok - 1\r\nxyz")]
+    #[case::not_text("a1 \u{7f}\u{0} - 0\r\n")]
+    fn bad_lines_are_errors(#[case] text: &str) {
+        assert!(Answers::default().take(text.as_bytes(), &mut Vec::new()).is_err());
+    }
+
+    #[test]
+    fn a_line_without_end_is_bounded() {
+        assert!(Answers::default().take(&[b'a'; LONGEST_LINE + 1], &mut Vec::new()).is_err());
+    }
+
+    fn order(member: u32, fill: Option<Fill>) -> Order {
+        let (request, member) = (RequestId(0x9b), MemberId(member));
+        Order { request, attempt: 0, member, timeout: 1_500_900, fill, picked: 0 }
+    }
+
+    #[rstest]
+    #[case::straight(None, "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,have=e 2\r\nhi\r\n")]
+    #[case::filled(
+        Some(Fill { source: Some(MemberId(2)), keep: 3, max_age: Some(1_999), join: true, renew: true, held_only: false }),
+        "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,src=n2,keep=3,maxage=1,flags=ride+update,have=e 2\r\nhi\r\n"
+    )]
+    #[case::own_source(
+        Some(Fill { source: Some(MemberId(1)), held_only: true, ..Fill::default() }),
+        "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,flags=have-only,have=e 2\r\nhi\r\n"
+    )]
+    fn an_order_becomes_one_line_and_the_body(#[case] fill: Option<Fill>, #[case] line: &str) {
+        let text = |text: &str| Some(text.to_string());
+        let pull = Pull {
+            class: "k".into(),
+            object: "o".into(),
+            part: text("3"),
+            token: text("t"),
+            have: text("e"),
+            body: b"hi".to_vec(),
+        };
+        let bytes = pull.bytes(&order(1, fill), |id| Some(format!("n{}", id.0)));
+        assert_eq!(String::from_utf8(bytes).unwrap(), line);
+    }
+
+    #[rstest]
+    #[case(End::Unreachable, true)]
+    #[case(End::Nothing, true)]
+    #[case(End::Refused, true)]
+    #[case(End::Stale, true)]
+    #[case(End::NotSent, true)]
+    #[case(End::Error, false)]
+    #[case(End::Reset, false)]
+    fn outcomes_map_by_proof(#[case] end: End, #[case] never_ran: bool) {
+        use Outcome::*;
+        assert_eq!(matches!(end.outcome(), Full | Unreachable | NotSent | Miss), never_ran);
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,185 @@
+//! The settings object, as the simulator's first message and a gateway's configuration hold it.
+
+use crate::interface::*;
+use serde::Deserialize;
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Env {
+    classes: Vec<EnvClass>,
+    #[serde(default)]
+    family_info: FamilyInfo,
+    instances: u32,
+    #[serde(default)]
+    kinds: Vec<String>,
+    limits: Limits,
+    obligations: Obligations,
+    #[serde(default)]
+    report: Report,
+    #[serde(default)]
+    tick: Micros,
+    #[serde(default)]
+    weight_kind: String,
+    zone: String,
+    zones: Vec<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct EnvClass {
+    name: String,
+    aim: Micros,
+    #[serde(default)]
+    aim_stretch: f64,
+    #[serde(default)]
+    credit: f64,
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    late_value: f64,
+    #[serde(default)]
+    memory_span: Micros,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct FamilyInfo {
+    class_fresh: Vec<Micros>,
+    collapses: bool,
+    mid_kind: Option<i64>,
+    pace_kb_per_s: f64,
+    parent_cold: Micros,
+    parent_limit_factor: f64,
+    pass_on: Vec<bool>,
+    purge_takes: Micros,
+    source_kind: Option<i64>,
+    straight: bool,
+    upper_cold_from: f64,
+    zone_balancers: Vec<u32>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Limits {
+    may_cancel: bool,
+    max_retry_after: Micros,
+    retry_after: bool,
+    second_copies: bool,
+    send_cap: u32,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Obligations {
+    fall: Micros,
+    fall_multiple: f64,
+    start_capacity: f64,
+    warm_up: Micros,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase", default)]
+struct Report {
+    fields: Vec<String>,
+}
+
+/// The names that one gateway's settings gave.
+pub struct Names {
+    pub classes: BTreeMap<String, usize>,
+    pub zones: BTreeMap<String, usize>,
+    pub kinds: BTreeMap<String, i64>,
+    pub parent_kind: i64,
+    pub origin_kind: i64,
+    pub inflight_at: Option<usize>,
+    pub busy_at: Option<usize>,
+}
+
+fn index(names: &[String]) -> BTreeMap<String, usize> {
+    names.iter().enumerate().map(|(at, name)| (name.clone(), at)).collect()
+}
+
+/// Decodes the settings object, and keeps the names that it gives.
+pub fn settings(env: Value) -> Result<(Settings, Names), String> {
+    let env: Env = serde_json::from_value(env).map_err(|e| format!("unusable settings: {e}"))?;
+    let info = &env.family_info;
+    let mut classes = Vec::new();
+    for (at, class) in env.classes.iter().enumerate() {
+        let group = match class.group.as_str() {
+            "zone" => RepeatGroup::Zone,
+            "cell" => RepeatGroup::Cell,
+            _ => RepeatGroup::All,
+        };
+        let effect = match class.effect.as_str() {
+            "free" => Effect::Repeatable,
+            "guarded" => Effect::Keyed { group, memory: class.memory_span },
+            "single_shot" => Effect::Once,
+            other => return Err(format!("unusable settings: effect {other:?}")),
+        };
+        classes.push(Class {
+            aim: class.aim,
+            aim_stretch: class.aim_stretch,
+            worth: class.credit,
+            late_worth: class.late_value,
+            effect,
+            fresh: info.class_fresh.get(at).copied().filter(|fresh| *fresh > 0),
+            uncacheable: info.pass_on.get(at).copied().unwrap_or(false),
+        });
+    }
+    let zones = index(&env.zones);
+    let zone =
+        *zones.get(&env.zone).ok_or(format!("unusable settings: zone {:?} is not listed", env.zone))?;
+    let routers_at = |at: usize| info.zone_balancers.get(at).copied().unwrap_or(env.instances);
+    let rules = &env.obligations;
+    let names = Names {
+        classes: env.classes.iter().enumerate().map(|(at, class)| (class.name.clone(), at)).collect(),
+        kinds: env.kinds.iter().enumerate().map(|(at, kind)| (kind.clone(), at as i64)).collect(),
+        parent_kind: info.mid_kind.unwrap_or(-1),
+        origin_kind: info.source_kind.unwrap_or(-1),
+        inflight_at: env.report.fields.iter().position(|field| field == "rif"),
+        busy_at: env.report.fields.iter().position(|field| field == "busy"),
+        zones,
+    };
+    let settings = Settings {
+        classes,
+        zones: (0..env.zones.len()).map(|at| Zone { routers: routers_at(at) }).collect(),
+        zone,
+        routers: env.instances,
+        pace_kb_per_s: info.pace_kb_per_s,
+        weights_told: env.weight_kind != "silent",
+        max_attempts: env.limits.send_cap,
+        second_copies: env.limits.second_copies,
+        may_cancel: env.limits.may_cancel,
+        max_backoff: env.limits.retry_after.then_some(env.limits.max_retry_after),
+        straight: info.straight,
+        joins: info.collapses,
+        cold_cache: ColdRule {
+            floor: rules.start_capacity,
+            warm_up: rules.warm_up,
+            multiple: rules.fall_multiple,
+            window: rules.fall,
+        },
+        cold_parent: ColdRule {
+            floor: info.upper_cold_from,
+            warm_up: info.parent_cold,
+            multiple: info.parent_limit_factor,
+            window: rules.fall,
+        },
+        purge_takes: info.purge_takes,
+        tick: env.tick,
+    };
+    Ok((settings, names))
+}
+
+impl Names {
+    /// The role that a machine kind plays.
+    pub fn role(&self, kind: &str) -> Role {
+        match self.kinds.get(kind).copied() {
+            Some(kind) if kind == self.origin_kind => Role::Origin,
+            Some(kind) if kind == self.parent_kind => Role::Parent,
+            _ => Role::Cache,
+        }
+    }
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -94,6 +94,7 @@
             object: object.into(),
             part: 0,
             purge_group: Some(7),
+            by_name: false,
         }))
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -35,6 +35,7 @@
         object: "a".into(),
         part: 0,
         purge_group: None,
+        by_name: false,
     }));
     assert_eq!(unknown, vec![Action::Fail { request: RequestId(1) }]);
     let late = bench.event(Event::Request(Request {
@@ -45,6 +46,7 @@
         object: "a".into(),
         part: 0,
         purge_group: None,
+        by_name: false,
     }));
     assert!(refused(&late) && sent(&late).is_none());
 }
