--- a/src/brain.rs
+++ b/src/brain.rs
@@ -767,7 +767,8 @@
     /// Long enough for a slow answer, and short enough to leave room for another attempt.
     fn timeout(&self, open: &Open) -> Micros {
         let left = (open.deadline - self.now).saturating_sub(self.settings.tick * (TICKS_SPARE + 1)).max(1);
-        let usual = open.work + self.fill_extra;
+        // A check takes no sending and no fill: a silent member must leave time to ask the next.
+        let usual = if open.asked.by_name { 0.0 } else { open.work + self.fill_extra };
         let patience = (usual * PATIENCE * 1e6) as Micros + PATIENCE_FLOOR;
         let again = (usual * 1e6) as Micros;
         if patience + again < left { patience } else { left }
--- a/src/config.rs
+++ b/src/config.rs
@@ -168,7 +168,7 @@
 }
 
 fn network(text: &str) -> Result<(IpAddr, u8), ConfigError> {
-    let bad = || fault("sources.net", format!("{text:?} is not a network like 127.0.0.0/8"));
+    let bad = || fault("dns.sources.net", format!("{text:?} is not a network like 127.0.0.0/8"));
     let (ip, bits) = text.split_once('/').map_or((text, None), |(ip, bits)| (ip, Some(bits)));
     let ip: IpAddr = ip.parse().map_err(|_| bad())?;
     let most = if ip.is_ipv4() { 32 } else { 128 };
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -4,7 +4,7 @@
 use super::bus::{self, Batch, Event, list_kind};
 use super::clock::Clock;
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
-use super::{dns, http, lock};
+use super::{Place, dns, http, lock};
 use crate::broker::{Broker, Next, Order, Verdict, Waiter};
 use crate::config::Config;
 use crate::interface::*;
@@ -27,6 +27,8 @@
 const LINGER: Duration = Duration::from_millis(1_000);
 const STREAMS: usize = 100;
 const CONNECT: Duration = Duration::from_millis(400);
+/// Memory that is kept out of the reckoning of answers.
+const MEMORY_OWN_MB: usize = 32;
 const IDLE: Duration = Duration::from_secs(20);
 
 /// What a waiting request is told.
@@ -89,15 +91,6 @@
     open: Arc<AtomicUsize>,
 }
 
-/// A request that has been taken and not yet answered.
-pub struct Open(Arc<AtomicUsize>);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 impl Shared {
     pub fn broker(&self) -> MutexGuard<'_, Broker<Mailbox>> {
         lock(&self.broker)
@@ -108,9 +101,8 @@
     }
 
     /// Counts a request as open until what is returned is dropped.
-    pub fn taken(&self) -> Open {
-        self.open.fetch_add(1, Ordering::SeqCst);
-        Open(self.open.clone())
+    pub(super) fn taken(&self) -> Option<Place> {
+        Place::take(&self.open, usize::MAX)
     }
 
     /// Takes in events of the bus.
@@ -244,7 +236,7 @@
 impl Gateway {
     /// Applies what is known, then listens.
     pub fn start(config: Config) -> io::Result<Gateway> {
-        let Config { name, listen, seed, sockets, bus, known, settings, names, dns, .. } = config;
+        let Config { name, listen, seed, memory_mb, sockets, bus, known, settings, names, dns, .. } = config;
         let clock = Clock::default();
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
@@ -267,7 +259,8 @@
         let listener = TcpListener::bind(listen)?;
         let listen = listener.local_addr()?;
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
-        let most = sockets * 2 / 5;
+        // Each client may have an answer of 240,000 bytes in memory.
+        let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * 4);
         let serving = shared.clone();
         super::spawn(move || http::listen(&serving, &listener, most));
         let following = shared.clone();
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -6,7 +6,7 @@
 use may::net::{TcpListener, TcpStream};
 use std::io::{self, Read, Write};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 /// The largest head, its most fields, and the largest body.
@@ -218,15 +218,14 @@
                 continue;
             }
         };
-        if held.load(Ordering::Relaxed) >= most {
+        let Some(place) = super::Place::take(&held, most) else {
             log::warn!("{most} clients are connected: one more was refused");
             let _ = stream.write_all(&refusal(None, true));
             continue;
-        }
-        held.fetch_add(1, Ordering::Relaxed);
-        let (shared, held) = (shared.clone(), Held(held.clone()));
+        };
+        let shared = shared.clone();
         super::spawn(move || {
-            let _held = held;
+            let _place = place;
             if let Err(e) = client(&shared, &mut stream) {
                 log::debug!("client: {e}");
             }
@@ -234,15 +233,6 @@
     }
 }
 
-/// A place in the table of clients, free again also when its coroutine panics.
-struct Held(Arc<AtomicUsize>);
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 fn client(shared: &Arc<Shared>, stream: &mut TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(IDLE))?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,8 @@
 pub mod signal;
 pub mod store;
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 /// Locks for a short stretch without I/O. A panic elsewhere must not spread to all other requests.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -30,3 +31,21 @@
 fn spawn(work: impl FnOnce() + Send + 'static) {
     drop(may::go!(work));
 }
+
+/// A place in a bounded table, free again when it is dropped, also by a panic.
+struct Place(Arc<AtomicUsize>);
+
+impl Place {
+    /// `None`: the table is full.
+    fn take(held: &Arc<AtomicUsize>, most: usize) -> Option<Place> {
+        let taken =
+            held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |now| (now < most).then_some(now + 1));
+        taken.ok().map(|_| Place(held.clone()))
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -247,6 +247,8 @@
     attempt: u32,
     to: A,
     written: bool,
+    /// A check: there is nothing to give up at the store.
+    echo: bool,
 }
 
 struct ConnState<A> {
@@ -328,12 +330,15 @@
             state.retired = true;
         }
         if pending.written {
+            // A late answer to a check under this id must not pass for the next one's either.
             if state.killed.len() >= KILLED_KEPT {
                 state.killed.pop_front();
             }
             state.killed.push_back(self.id);
             drop(state);
-            let _ = conn.queue.send(Out::Kill(self.id));
+            if !pending.echo {
+                let _ = conn.queue.send(Out::Kill(self.id));
+            }
         }
     }
 }
@@ -367,15 +372,15 @@
     /// Sends an attempt.
     pub fn pull(self: &Arc<Self>, order: &Order, pull: &Pull, to: A) -> Ticket<A> {
         let names = |id: MemberId| lock(&self.table).get(&id).map(|store| store.name.clone());
-        self.send(order, pull.bytes(order, names), to)
+        self.send(order, pull.bytes(order, names), false, to)
     }
 
     /// Sends a check.
     pub fn echo(self: &Arc<Self>, order: &Order, to: A) -> Ticket<A> {
-        self.send(order, format!("ECHO {:016x}\r\n", order.request.0).into_bytes(), to)
+        self.send(order, format!("ECHO {:016x}\r\n", order.request.0).into_bytes(), true, to)
     }
 
-    fn send(self: &Arc<Self>, order: &Order, bytes: Vec<u8>, to: A) -> Ticket<A> {
+    fn send(self: &Arc<Self>, order: &Order, bytes: Vec<u8>, echo: bool, to: A) -> Ticket<A> {
         let id = order.request.0;
         let sent = Instant::now();
         let Some(conn) = self.connection(order.member, id) else {
@@ -385,7 +390,7 @@
         {
             let mut state = lock(&conn.state);
             state.used = sent;
-            state.pending.insert(id, Pending { attempt: order.attempt, to, written: false });
+            state.pending.insert(id, Pending { attempt: order.attempt, to, written: false, echo });
         }
         let _ = conn.queue.send(Out::Send { id, order: order.clone(), bytes });
         Ticket { conn: Some(conn), id, sent }
--- /dev/null
+++ b/tests/broker.rs
@@ -0,0 +1,178 @@
+//! The broker in simulated time: requests, attempts and outcomes, with no socket in sight.
+
+mod common;
+use common::{MS, SECOND, fleet, member, settings};
+use sagearch::broker::{Broker, Next, Order, Verdict, Waiter};
+use sagearch::interface::*;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+#[derive(Clone, Default)]
+struct Told(Rc<RefCell<Vec<Verdict>>>);
+
+impl Waiter for Told {
+    fn deliver(&self, verdict: Verdict) {
+        self.0.borrow_mut().push(verdict);
+    }
+}
+
+fn request(id: u64, class: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        class: Some(class),
+        budget: 3 * SECOND,
+        object: "a".into(),
+        ..Request::default()
+    }
+}
+
+fn broker() -> Broker<Told> {
+    let mut broker = Broker::new(settings(), 1);
+    broker.members(0, ListKind::Complete, fleet());
+    broker
+}
+
+fn attempt(verdict: Option<Verdict>) -> Order {
+    let Some(Verdict::Attempt(order)) = verdict else { panic!("{verdict:?}") };
+    order
+}
+
+fn report(broker: &mut Broker<Told>, now: Micros, order: &Order, outcome: Outcome) -> Next {
+    broker.report(now, order.request, order.attempt, outcome, Detail::Untold, Load::default())
+}
+
+#[test]
+fn an_outcome_leads_to_the_next_attempt_and_to_one_end() {
+    let mut broker = broker();
+    let first = attempt(broker.pick(MS, request(1, 0), Told::default()));
+    let Next::Verdict(next) = report(&mut broker, 2 * MS, &first, Outcome::Unreachable) else { panic!() };
+    let second = attempt(Some(next));
+    assert_eq!((first.attempt, second.attempt), (0, 1));
+    assert_ne!(first.member, second.member);
+    // A late word of the first changes nothing.
+    assert_eq!(report(&mut broker, 3 * MS, &first, Outcome::Served), Next::Wait);
+    assert_eq!(report(&mut broker, 4 * MS, &second, Outcome::Served), Next::Done);
+    assert_eq!(report(&mut broker, 5 * MS, &second, Outcome::Served), Next::Wait);
+    assert_eq!(broker.open(), 0);
+}
+
+#[test]
+fn a_silent_attempt_is_ended_by_the_tick_and_so_is_the_request() {
+    let (mut broker, told) = (broker(), Told::default());
+    attempt(broker.pick(0, request(1, 0), told.clone()));
+    for now in 1..3_000 {
+        broker.tick(now * MS);
+    }
+    let told = told.0.borrow();
+    let (last, others) = told.split_last().unwrap();
+    assert!(matches!(last, Verdict::Refused { .. }), "{last:?}");
+    assert!(!others.is_empty() && others.iter().all(|verdict| matches!(verdict, Verdict::Attempt(_))));
+    assert_eq!(broker.open(), 0);
+}
+
+#[test]
+fn a_pause_is_ended_by_the_tick() {
+    let (mut broker, told) = (broker(), Told::default());
+    let first = attempt(broker.pick(0, request(1, 2), told.clone()));
+    assert_eq!(report(&mut broker, MS, &first, Outcome::Full), Next::Wait);
+    (1..200).for_each(|now| broker.tick(now * MS));
+    assert!(matches!(told.0.borrow()[..], [Verdict::Attempt(Order { attempt: 1, .. })]));
+}
+
+#[test]
+fn an_id_that_is_open_cannot_take_over_another_request() {
+    let (mut broker, told) = (broker(), Told::default());
+    let first = attempt(broker.pick(0, request(1, 0), told));
+    assert_eq!(broker.pick(MS, request(1, 0), Told::default()), Some(Verdict::Failed));
+    assert_eq!(report(&mut broker, 2 * MS, &first, Outcome::Served), Next::Done);
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing() {
+    let (mut broker, told) = (broker(), Told::default());
+    let first = attempt(broker.pick(0, request(1, 0), told.clone()));
+    broker.abandon(MS, RequestId(1));
+    assert_eq!(report(&mut broker, 2 * MS, &first, Outcome::Unreachable), Next::Wait);
+    (1..4_000).for_each(|now| broker.tick(now * MS));
+    assert!(told.0.borrow().is_empty() && broker.open() == 0);
+}
+
+#[test]
+fn what_was_picked_is_checked_again_before_it_is_written() {
+    let mut broker = broker();
+    let order = attempt(broker.pick(0, request(1, 0), Told::default()));
+    assert!(broker.may_send(&order));
+    broker.purged(MS, Some("b".into()), None, 0);
+    assert!(broker.may_send(&order));
+    broker.purged(MS, Some("a".into()), None, 0);
+    assert!(!broker.may_send(&order), "its age limit does not know of the purge");
+    let order = attempt(broker.pick(2 * MS, request(2, 0), Told::default()));
+    assert!(broker.may_send(&order));
+    let source = order.fill.unwrap().source.unwrap();
+    let drains = Member { state: MemberState::Draining, ..member(source.0, Role::Parent) };
+    broker.members(3 * MS, ListKind::Changes, vec![drains]);
+    assert!(!broker.may_send(&order), "its source drains");
+}
+
+#[test]
+fn a_checked_member_that_left_meanwhile_is_passed_by() {
+    let mut broker = broker();
+    let by_name = |id| Request { by_name: true, ..request(id, 0) };
+    let first = attempt(broker.pick(0, by_name(1), Told::default()));
+    let gone = Member { state: MemberState::Gone, ..member(first.member.0, Role::Cache) };
+    broker.members(MS, ListKind::Changes, vec![gone]);
+    let Next::Verdict(next) = broker.checked(2 * MS, &first) else { panic!() };
+    let second = attempt(Some(next));
+    assert_ne!(first.member, second.member);
+    assert_eq!(broker.checked(3 * MS, &second), Next::Done);
+}
+
+/// A check is over in no time. Were that taken for sending, the next request would be cut too soon.
+#[test]
+fn checks_teach_no_sending_times() {
+    let sized = |id| Request { size_kb: 500.0, ..request(id, 0) };
+    let play = |checks: u64| {
+        let mut broker = broker();
+        for id in 0..20 {
+            let order = attempt(broker.pick(id * SECOND, sized(id), Told::default()));
+            broker.report(
+                id * SECOND + 600 * MS,
+                order.request,
+                0,
+                Outcome::Served,
+                Detail::Filled,
+                Load::default(),
+            );
+        }
+        for id in 100..100 + checks {
+            let by_name = Request { by_name: true, object: format!("o{id}"), ..request(id, 0) };
+            let order = attempt(broker.pick(21 * SECOND, by_name, Told::default()));
+            assert_eq!(broker.checked(21 * SECOND + MS, &order), Next::Done);
+        }
+        let order = attempt(broker.pick(22 * SECOND, sized(1_000), Told::default()));
+        (order.member, order.timeout, order.fill)
+    };
+    assert_eq!(play(0), play(200));
+}
+
+/// What an answer sends to a cold cache counts like requests: the budget runs out for both.
+#[test]
+fn lookups_are_charged_to_a_cold_member() {
+    let mut settings = settings();
+    settings.straight = false;
+    let mut broker: Broker<Told> = Broker::new(settings, 1);
+    let cold = Member { started: Some(100 * SECOND), ..member(1, Role::Cache) };
+    broker.members(100 * SECOND, ListKind::Complete, vec![cold, member(20, Role::Origin)]);
+    let mut taken = 0;
+    let sized = |id| Request { size_kb: 500.0, ..request(id, 0) };
+    // The first, sized requests tell the mean; the look-ups that follow spend what is left.
+    for id in 0..200 {
+        let asked = if id < 3 { sized(id) } else { Request { by_name: true, ..request(id, 0) } };
+        let now = 100 * SECOND + id * MS;
+        let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Told::default()) else { continue };
+        taken += 1;
+        let how = if id < 3 { Outcome::Served } else { Outcome::Checked };
+        report(&mut broker, now, &order, how);
+    }
+    assert!((1..20).contains(&taken), "{taken}");
+}
--- /dev/null
+++ b/tests/sockets.rs
@@ -0,0 +1,240 @@
+//! The gateway on real sockets, a test a rule.
+
+mod stand;
+use rstest::rstest;
+use serde_json::json;
+use stand::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const SEGMENT: &str = "video/7f3a/block-3";
+
+#[test]
+fn bytes_pass_whole_and_unchanged_in_both_directions() {
+    let bytes: Vec<u8> = (0..240_000_u32).map(|at| (at * 7 % 256) as u8).collect();
+    let (sent, bus) = (bytes.clone(), Bus::default());
+    let cache = Store::new(1, move |_, _| ok(&sent));
+    let origin = Store::new(9, |_, body| ok(body));
+    let gateway = gateway(&bus, &[cache.cache(), origin.origin()]);
+    let got = ask(gateway.listen, SEGMENT, 0xa1);
+    assert_eq!((got.status, got.fields["etag"].as_str()), (200, "\"e1\""));
+    assert!(got.body == bytes);
+    assert!(cache.lines("PULL")[0].starts_with("PULL 00000000000000a1 kind=video,obj=7f3a,seg=3,ms="));
+    let put =
+        request("submit/form1", 2, 1_500, "Req-Token: t1\r\nContent-Length: 5\r\n").replace("GET", "PUT");
+    let got = ask_text(gateway.listen, &(put + "a\r\nb\n")).unwrap();
+    assert_eq!((got.status, got.body.as_slice()), (200, &b"a\r\nb\n"[..]));
+    assert!(origin.lines("PULL")[0].contains("token=t1"));
+}
+
+#[test]
+fn a_copy_that_the_client_has_is_not_sent_again() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |line, _| {
+        assert!(line.contains("have=e1"));
+        Do::Answer("current", "res=TCP_HIT,etag=e1", Vec::new())
+    });
+    let gateway = gateway(&bus, &[cache.cache()]);
+    let got = ask_text(gateway.listen, &request(SEGMENT, 1, 1_500, "If-None-Match: \"e1\"\r\n")).unwrap();
+    assert_eq!((got.status, got.body.len()), (304, 0));
+}
+
+#[test]
+fn what_the_module_gives_up_is_answered_at_once_and_told_when_to_come_back() {
+    let bus = Bus::default();
+    let full = Store::new(1, |_, _| Do::Answer("refused", "-", Vec::new()));
+    let gateway = gateway(&bus, &[full.cache()]);
+    let got = ask(gateway.listen, SEGMENT, 1);
+    assert_eq!((got.status, got.fields["retry-after"].as_str()), (503, "1"));
+    assert!(got.took < Duration::from_millis(700), "{:?}", got.took);
+}
+
+#[test]
+fn a_silent_store_costs_no_request_its_answer() {
+    let bus = Bus::default();
+    let silent = Store::new(1, |_, _| Do::Nothing);
+    let gateway = gateway(&bus, &[silent.cache()]);
+    let got = ask_text(gateway.listen, &request(SEGMENT, 1, 400, "")).unwrap();
+    assert_eq!(got.status, 503);
+    assert!(got.took < Duration::from_millis(450), "{:?}", got.took);
+    wait_for("the attempt is given up", || !silent.lines("KILL 0000000000000001").is_empty());
+}
+
+#[rstest]
+#[case::closed(b"")]
+#[case::midway(b"0000000000000001 ok - 9\r\nabc")]
+#[case::bad_line(b"what?\r\n")]
+#[case::longer_than_told(b"0000000000000001 ok - 1\r\nabcdef")]
+fn a_store_that_breaks_off_costs_an_attempt_and_no_torn_answer(#[case] bytes: &'static [u8]) {
+    let bus = Bus::default();
+    let broken = Store::new(1, move |_, _| Do::Break(bytes.to_vec()));
+    let origin = Store::new(9, |_, _| ok(b"whole"));
+    let gateway = gateway(&bus, &[broken.cache(), origin.origin()]);
+    let got = ask(gateway.listen, SEGMENT, 1);
+    assert_eq!(broken.pulls(), 1);
+    assert_eq!((got.status, got.body.as_slice()), (200, &b"whole"[..]));
+}
+
+#[rstest]
+#[case::reset(|| Do::Break(Vec::new()), 502, 1)]
+#[case::error(|| Do::Answer("error", "-", Vec::new()), 502, 1)]
+#[case::over(|| Do::Answer("stale", "-", Vec::new()), 200, 2)]
+#[case::turned_away(|| Do::Answer("refused", "-", Vec::new()), 200, 2)]
+fn only_what_never_ran_goes_out_again(#[case] first: fn() -> Do, #[case] status: u16, #[case] pulls: usize) {
+    let (bus, asked) = (Bus::default(), AtomicUsize::new(0));
+    let origin = Store::new(9, move |_, _| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => first(),
+        _ => ok(b""),
+    });
+    let gateway = gateway(&bus, &[origin.origin()]);
+    let got = ask(gateway.listen, "once/form1", 1);
+    assert_eq!((got.status, origin.pulls()), (status, pulls));
+}
+
+#[test]
+fn a_client_that_leaves_has_its_attempt_given_up() {
+    let bus = Bus::default();
+    let slow = Store::new(1, |_, _| Do::Nothing);
+    let gateway = gateway(&bus, &[slow.cache()]);
+    let asked = send(gateway.listen, &request(SEGMENT, 7, 5_000, ""));
+    wait_for("the attempt", || slow.pulls() == 1);
+    drop(asked);
+    wait_for("the KILL", || slow.lines("KILL") == ["KILL 0000000000000007"]);
+}
+
+#[test]
+fn a_draining_cache_gets_nothing_new_neither_as_source() {
+    let bus = Bus::default();
+    let stores: Vec<Store> = (1..=2).map(|id| Store::new(id, |_, _| ok(b"x"))).collect();
+    let parents: Vec<Store> = (5..=6).map(|id| Store::new(id, |_, _| ok(b"x"))).collect();
+    let list: Vec<_> = parents.iter().map(|parent| parent.entry("parent", "hub", "up")).collect();
+    let gateway = gateway(&bus, &[vec![stores[0].cache(), stores[1].cache()], list].concat());
+    let round = |from: u64| {
+        (from..from + 30).for_each(|id| {
+            assert_eq!(ask(gateway.listen, &format!("video/o{id}"), id).status, 200);
+        })
+    };
+    round(100);
+    let before = stores[0].pulls();
+    assert!(before > 0 && stores[1].pulls() > 0);
+    bus.list(&[stores[0].gone("draining"), parents[0].entry("parent", "hub", "removed")]);
+    std::thread::sleep(Duration::from_millis(500));
+    let sent = stores[1].pulls();
+    round(200);
+    assert_eq!(stores[0].pulls(), before);
+    let source = format!("src={}", parents[0].name);
+    assert!(stores[1].lines("PULL")[sent..].iter().all(|line| !line.contains(&source)));
+}
+
+#[test]
+fn after_a_purge_no_older_copy_will_do() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| ok(b"x"));
+    let gateway = gateway(&bus, &[cache.cache()]);
+    ask(gateway.listen, SEGMENT, 1);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    bus.push("ban", json!({"url": "7f3a", "ts": now}));
+    std::thread::sleep(Duration::from_millis(300));
+    ask(gateway.listen, SEGMENT, 2);
+    let lines = cache.lines("PULL");
+    assert!(!lines[0].contains("maxage="));
+    let age: u64 =
+        lines[1].split("maxage=").nth(1).unwrap().split([',', ' ']).next().unwrap().parse().unwrap();
+    assert!((200..5_000).contains(&age) && !lines[1].contains("ride"), "{}", lines[1]);
+}
+
+#[test]
+fn a_cold_cache_is_sent_little_and_a_reused_address_is_a_new_store() {
+    let bus = Bus::default();
+    let warm = Store::new(1, |_, _| ok(b"x"));
+    let mut other = Store::new(2, |_, _| ok(b"x"));
+    let gateway = gateway(&bus, &[warm.cache(), other.cache()]);
+    (0..20).for_each(|id| assert_eq!(ask(gateway.listen, &format!("video/a{id}"), id).status, 200));
+    let before = other.pulls();
+    assert!(before > 0);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    let gone = other.gone("removed");
+    other.name = "s-00000003".into();
+    let mut fresh = other.cache();
+    fresh["startedAtMs"] = json!(now);
+    bus.list(&[gone, fresh]);
+    std::thread::sleep(Duration::from_millis(300));
+    // 150 requests of 1 s of sending each, where a share of 8 transfers that begins at 0.15 has a few.
+    (100..250).for_each(|id| {
+        let text = request(&format!("video/b{id}"), id, 1_500, "Req-Kb: 4000\r\n");
+        assert_eq!(ask_text(gateway.listen, &text).unwrap().status, 200);
+    });
+    let cold = other.pulls() - before;
+    assert!((1..=20).contains(&cold), "{cold}");
+}
+
+#[test]
+fn bad_input_gets_400_and_a_full_table_refuses() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| ok(b"x"));
+    let gateway = gateway_with(&bus, &[cache.cache()], 64, None);
+    assert_eq!(ask_text(gateway.listen, "nonsense\r\n\r\n").unwrap().status, 400);
+    let mut held: Vec<TcpStream> = Vec::new();
+    for _ in 0..64 * 2 / 5 {
+        held.push(TcpStream::connect(gateway.listen).unwrap());
+    }
+    std::thread::sleep(Duration::from_millis(100));
+    let full = read_answer(&TcpStream::connect(gateway.listen).unwrap(), Instant::now()).unwrap();
+    assert_eq!((full.status, full.fields["retry-after"].as_str()), (503, "1"));
+    held.clear();
+    wait_for("places are free again", || {
+        let text = request(SEGMENT, 1, 1_500, "");
+        ask_text(gateway.listen, &text).is_some_and(|answer| answer.status == 200)
+    });
+}
+
+#[test]
+fn requests_come_in_pieces_on_a_connection_that_is_kept() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| ok(b"x"));
+    let gateway = gateway(&bus, &[cache.cache()]);
+    let mut stream = TcpStream::connect(gateway.listen).unwrap();
+    for id in 1..=2 {
+        for piece in request(SEGMENT, id, 1_500, "").as_bytes().chunks(7) {
+            stream.write_all(piece).unwrap();
+            std::thread::sleep(Duration::from_millis(1));
+        }
+        assert_eq!(read_answer(&stream, Instant::now()).unwrap().status, 200);
+    }
+    stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+    assert!(stream.read(&mut [0]).is_err(), "no second answer follows");
+}
+
+/// The program itself: it serves what comes for a while after SIGTERM, finishes and exits with 0.
+#[test]
+fn sigterm_loses_nothing() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| {
+        std::thread::sleep(Duration::from_millis(300));
+        ok(b"x")
+    });
+    bus.list(&[cache.cache()]);
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let file = std::env::temp_dir().join(format!("sagearch-{}.json", std::process::id()));
+    std::fs::write(&file, config(&bus, &free.to_string(), 1024).to_string()).unwrap();
+    let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_sagearch"))
+        .env("NODE_CONFIG", &file)
+        .env_remove("NODE_NAME")
+        .env_remove("NODE_LISTEN")
+        .spawn()
+        .unwrap();
+    wait_for("it listens", || TcpStream::connect(free).is_ok());
+    let live = ask_text(free, "GET /status/live HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let before = send(free, &request(SEGMENT, 1, 3_000, ""));
+    wait_for("the attempt", || cache.pulls() == 1);
+    let term = std::process::Command::new("kill").arg(program.id().to_string()).status().unwrap();
+    std::thread::sleep(Duration::from_millis(500));
+    let after = ask(free, SEGMENT, 2);
+    let first = read_answer(&before, Instant::now()).unwrap();
+    let code = program.wait().unwrap();
+    std::fs::remove_file(&file).unwrap();
+    assert!(term.success() && code.success());
+    assert_eq!((live.status, first.status, after.status), (200, 200, 200));
+}
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,267 @@
+//! Stand-ins on loopback for tests of the gateway: stores, an event bus and clients, on plain threads.
+#![allow(dead_code)]
+
+use sagearch::net::{self, gateway::Gateway};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, Once};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a store does about a request.
+pub enum Do {
+    Answer(&'static str, &'static str, Vec<u8>),
+    /// The bytes as they are, then the connection closes.
+    Break(Vec<u8>),
+    Nothing,
+}
+
+pub fn ok(body: &[u8]) -> Do {
+    Do::Answer("ok", "res=TCP_HIT,etag=e1,made=1", body.to_vec())
+}
+
+/// A store that logs the lines it gets.
+#[derive(Clone)]
+pub struct Store {
+    pub name: String,
+    pub at: SocketAddr,
+    lines: Arc<Mutex<Vec<String>>>,
+}
+
+impl Store {
+    pub fn new(id: u32, does: impl Fn(&str, &[u8]) -> Do + Send + Sync + 'static) -> Store {
+        Store::at(Ipv4Addr::LOCALHOST.into(), id, does)
+    }
+
+    pub fn at(ip: IpAddr, id: u32, does: impl Fn(&str, &[u8]) -> Do + Send + Sync + 'static) -> Store {
+        let listener = TcpListener::bind((ip, 0)).unwrap();
+        let name = format!("s-{id:08x}");
+        let store = Store { name, at: listener.local_addr().unwrap(), lines: Arc::default() };
+        let (lines, does) = (store.lines.clone(), Arc::new(does));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (lines, does) = (lines.clone(), does.clone());
+                thread::spawn(move || serve_lines(&stream, &lines, &*does));
+            }
+        });
+        store
+    }
+
+    pub fn lines(&self, word: &str) -> Vec<String> {
+        self.lines.lock().unwrap().iter().filter(|line| line.starts_with(word)).cloned().collect()
+    }
+
+    pub fn pulls(&self) -> usize {
+        self.lines("PULL").len()
+    }
+
+    pub fn entry(&self, kind: &str, zone: &str, state: &str) -> Value {
+        json!({"instanceId": self.name, "hostPort": self.at.to_string(), "zone": zone, "machineType": kind,
+            "cell": 0, "lifecycle": state, "weight": 8.0, "startedAtMs": 0})
+    }
+
+    pub fn cache(&self) -> Value {
+        self.entry("box", "edge", "up")
+    }
+
+    pub fn origin(&self) -> Value {
+        self.entry("origin", "hub", "up")
+    }
+
+    pub fn gone(&self, state: &str) -> Value {
+        self.entry("box", "edge", state)
+    }
+}
+
+fn serve_lines(stream: &TcpStream, lines: &Mutex<Vec<String>>, does: &dyn Fn(&str, &[u8]) -> Do) {
+    let (mut reader, mut writer, mut line) = (BufReader::new(stream), stream, String::new());
+    while reader.read_line(&mut line).is_ok_and(|read| read > 0) {
+        let text = std::mem::take(&mut line).trim_end().to_string();
+        let words: Vec<&str> = text.split(' ').collect();
+        let mut body = Vec::new();
+        if words[0] == "PULL" {
+            body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+            reader.read_exact(&mut body).unwrap();
+            assert_eq!(body.split_off(body.len() - 2), b"\r\n");
+        }
+        lines.lock().unwrap().push(text.clone());
+        match does(&text, &body) {
+            Do::Answer(word, fields, bytes) => {
+                let head = format!("{} {word} {fields} {}\r\n", words[1], bytes.len());
+                let _ = writer.write_all(&[head.as_bytes(), &bytes, b"\r\n"].concat());
+            }
+            Do::Break(bytes) => {
+                let _ = writer.write_all(&bytes);
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                return;
+            }
+            Do::Nothing => {}
+        }
+    }
+}
+
+/// An event bus by long poll.
+#[derive(Clone)]
+pub struct Bus {
+    pub at: SocketAddr,
+    events: Arc<(Mutex<Vec<Value>>, Condvar)>,
+}
+
+impl Default for Bus {
+    fn default() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let bus = Bus { at: listener.local_addr().unwrap(), events: Arc::default() };
+        let events = bus.events.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let events = events.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(&stream);
+                    while let Some((head, _)) = read_head(&mut reader) {
+                        let number = |key: &str| -> u64 {
+                            let rest = head.split_once(&format!("{key}=")).unwrap().1;
+                            rest.split(['&', ' ']).next().unwrap().parse().unwrap()
+                        };
+                        let (from, hold) = (number("from"), Duration::from_millis(number("hold")));
+                        let none_new = |list: &mut Vec<Value>| (list.len() as u64) <= from;
+                        let held = events.1.wait_timeout_while(events.0.lock().unwrap(), hold, none_new);
+                        let list = held.unwrap().0.clone();
+                        let later = &list[(from as usize).min(list.len())..];
+                        let body = json!({"offset": list.len(), "batch": later}).to_string();
+                        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                        if (&stream).write_all((head + &body).as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        bus
+    }
+}
+
+impl Bus {
+    /// An event with the next number.
+    pub fn push(&self, key: &str, value: Value) {
+        let mut list = self.events.0.lock().unwrap();
+        let offset = list.len() + 1;
+        list.push(json!({"offset": offset, key: value}));
+        self.events.1.notify_all();
+    }
+
+    pub fn list(&self, instances: &[Value]) {
+        self.push("topology", json!({"generation": 1, "reset": false, "instances": instances}));
+    }
+
+    pub fn known(&self) -> Value {
+        let list = self.events.0.lock().unwrap().clone();
+        json!({"offset": list.len(), "batch": list})
+    }
+}
+
+/// Class `video` may repeat, `once` must not run twice, `submit` carries a key; the last two run at the origin.
+pub fn settings() -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Aim": 300_000, "AimStretch": 1.5, "Credit": 1.0, "Deadline": 2_000_000,
+            "Effect": effect, "Group": "all", "LateValue": 0.1, "MemorySpan": 3_000_000})
+    };
+    json!({
+        "Classes": [class("video", "free"), class("once", "single_shot"), class("submit", "guarded")],
+        "FamilyInfo": {"ClassFresh": [0, 0, 0], "Collapses": true, "MidKind": 1, "SourceKind": 2,
+            "PaceKbPerS": 4000.0, "ParentCold": 22_000_000, "ParentLimitFactor": 2.0, "UpperColdFrom": 0.065,
+            "PassOn": [false, true, true], "PurgeTakes": 6_000_000, "Straight": true,
+            "ZoneBalancers": [0, 1]},
+        "Instances": 1,
+        "Kinds": ["box", "parent", "origin"],
+        "Limits": {"MayCancel": true, "SendCap": 6, "RetryAfter": false, "SecondCopies": false,
+            "MaxRetryAfter": 2_000_000},
+        "Obligations": {"DrainGrace": 1_000_000, "Fall": 3_000_000, "FallMultiple": 2.5,
+            "StartCapacity": 0.15, "WarmUp": 13_000_000},
+        "Report": {"Fields": ["rif", "x0"]},
+        "Tick": 2000, "WeightKind": "rough", "Zone": "edge", "Zones": ["hub", "edge"]})
+}
+
+pub fn config(bus: &Bus, listen: &str, sockets: usize) -> Value {
+    json!({"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "bus": bus.at.to_string(), "known": bus.known(), "settings": settings()})
+}
+
+/// A gateway in this process, over these stores.
+pub fn gateway(bus: &Bus, instances: &[Value]) -> Gateway {
+    gateway_with(bus, instances, 1024, None)
+}
+
+pub fn gateway_with(bus: &Bus, instances: &[Value], sockets: usize, dns: Option<Value>) -> Gateway {
+    static SET_UP: Once = Once::new();
+    SET_UP.call_once(net::set_up);
+    bus.list(instances);
+    let text = config(bus, "127.0.0.1:0", sockets).to_string();
+    let mut config = sagearch::config::decode(&text, None, None).unwrap();
+    config.dns = dns.and_then(|dns| sagearch::config::decode_dns(&dns.to_string(), &config.names).unwrap());
+    Gateway::start(config).unwrap()
+}
+
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub fields: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+    pub took: Duration,
+}
+
+fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
+    let (mut first, mut fields) = (String::new(), BTreeMap::new());
+    reader.read_line(&mut first).ok().filter(|read| *read > 0)?;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        let Some((name, value)) = line.trim_end().split_once(": ") else { return Some((first, fields)) };
+        fields.insert(name.to_lowercase(), value.to_string());
+    }
+}
+
+/// Reads one answer; `None` if the connection ends before it is whole.
+pub fn read_answer(stream: &TcpStream, since: Instant) -> Option<Answer> {
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    let mut reader = BufReader::new(stream);
+    let (first, fields) = read_head(&mut reader)?;
+    let status = first.split(' ').nth(1)?.parse().ok()?;
+    let length = fields.get("content-length").map_or(0, |length| length.parse().unwrap());
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Answer { status, fields, body, took: since.elapsed() })
+}
+
+/// A request's text; ids are the caller's.
+pub fn request(target: &str, id: u64, wait_ms: u64, fields: &str) -> String {
+    format!(
+        "GET /svc/{target} HTTP/1.1\r\nHost: x\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: {wait_ms}\r\n{fields}\r\n"
+    )
+}
+
+pub fn send(at: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    stream
+}
+
+pub fn ask_text(at: SocketAddr, text: &str) -> Option<Answer> {
+    let since = Instant::now();
+    read_answer(&send(at, text), since)
+}
+
+pub fn ask(at: SocketAddr, target: &str, id: u64) -> Answer {
+    ask_text(at, &request(target, id, 1_500, "Req-Kb: 40\r\n")).expect("an answer")
+}
+
+/// Waits for something that other threads bring about.
+pub fn wait_for(what: &str, check: impl Fn() -> bool) {
+    let since = Instant::now();
+    while !check() {
+        assert!(since.elapsed() < Duration::from_secs(5), "{what}");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
