Skip events told twice, bound how long a request may drip in, shorten the broker's report

Seen on review: a bus that is called anew may send old events again, and an old list line would undo a later one (src/net/bus.rs, follow); a client that sends a byte every 19 s held its place for hours (src/net/http.rs, client). Events up to the last number are dropped; a request has 30 s from its first byte. Broker::report takes one value for how an attempt ended in place of three, twice.

Tests: events_told_twice_count_once, a_refused_connection_is_proof.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -39,6 +39,20 @@
     Failed,
 }
 
+/// How an attempt ended, and what was told with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub outcome: Outcome,
+    pub detail: Detail,
+    pub load: Load,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Ended { outcome, detail: Detail::Untold, load: Load::default() }
+    }
+}
+
 /// What follows an outcome.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
@@ -120,16 +134,8 @@
     }
 
     /// Takes in how an attempt ended. A late report of an attempt that has ended changes nothing.
-    pub fn report(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        detail: Detail,
-        load: Load,
-    ) -> Next {
-        let next = self.ended(now, id, attempt, outcome, detail, load);
+    pub fn report(&mut self, now: Micros, id: RequestId, attempt: u32, how: impl Into<Ended>) -> Next {
+        let next = self.ended(now, id, attempt, how.into());
         if let Next::Verdict(verdict) = &next {
             self.settle(id, Some(verdict));
         }
@@ -140,7 +146,7 @@
     /// member has left the list since it was picked, the lookup goes on to the next one.
     pub fn checked(&mut self, now: Micros, order: &Order) -> Next {
         let outcome = if self.serving(order.member) { Outcome::Checked } else { Outcome::NotSent };
-        self.report(now, order.request, order.attempt, outcome, Detail::Untold, Load::default())
+        self.report(now, order.request, order.attempt, outcome)
     }
 
     /// The client has left; nothing more is owed.
@@ -161,8 +167,7 @@
                     (id, self.drive(now, Event::Timer(TimerId(timer))))
                 }
                 Due::Attempt(id, attempt) => {
-                    let next =
-                        self.ended(now, id, attempt, Outcome::TimedOut, Detail::Untold, Load::default());
+                    let next = self.ended(now, id, attempt, Outcome::TimedOut.into());
                     let Next::Verdict(verdict) = next else { continue };
                     (id, Some(verdict))
                 }
@@ -231,15 +236,8 @@
     }
 
     /// Tells the module that an attempt has ended, if it is still out.
-    fn ended(
-        &mut self,
-        now: Micros,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        detail: Detail,
-        load: Load,
-    ) -> Next {
+    fn ended(&mut self, now: Micros, id: RequestId, attempt: u32, how: Ended) -> Next {
+        let Ended { outcome, detail, load } = how;
         let finished = matches!(outcome, Outcome::Served | Outcome::Checked);
         let Some(entry) = self.open.get_mut(&id) else { return Next::Wait };
         let Some(out) = entry.out.take_if(|out| out.attempt == attempt) else { return Next::Wait };
@@ -277,8 +275,7 @@
                 }
                 // The front stops the attempt when it gets the final verdict that comes with this.
                 Action::Cancel { request, attempt } => {
-                    let (how, detail, load) = (Outcome::Cancelled, Detail::Untold, Load::default());
-                    self.ended(now, request, attempt, how, detail, load);
+                    self.ended(now, request, attempt, Outcome::Cancelled.into());
                 }
             }
         }
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -25,6 +25,14 @@
     pub batch: Vec<Event>,
 }
 
+impl Batch {
+    /// What is new. A bus that is called anew may repeat itself, and an old event must not undo a later one.
+    fn after(mut self, last: u64) -> Batch {
+        self.batch.retain(|event| event.offset > last);
+        self
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Event {
     pub offset: u64,
@@ -215,6 +223,7 @@
         };
         match poll() {
             Ok(batch) => {
+                let batch = batch.after(last);
                 if std::mem::take(&mut told) {
                     log::info!("event bus: connected again");
                 }
@@ -282,6 +291,14 @@
         assert!(answer(&mut text.as_bytes(), &mut Vec::new()).is_err());
     }
 
+    #[test]
+    fn events_told_twice_count_once() {
+        let text = r#"{"offset":3,"batch":[{"offset":1},{"offset":2},{"offset":3,"ban":{"tag":1,"ts":5}}]}"#;
+        let batch: Batch = serde_json::from_str(text).unwrap();
+        let new: Vec<u64> = batch.after(2).batch.iter().map(|event| event.offset).collect();
+        assert_eq!(new, [3]);
+    }
+
     #[rstest]
     #[case("s-00c41f7a", 0x00c4_1f7a)]
     #[case("ff", 0xff)]
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -5,7 +5,7 @@
 use super::clock::Clock;
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
 use super::{Place, dns, http, lock};
-use crate::broker::{Broker, Next, Order, Verdict, Waiter};
+use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use crate::config::Config;
 use crate::interface::*;
 use crate::settings::Names;
@@ -208,7 +208,8 @@
             (Work::Check, Outcome::Served) | (Work::Pull(_), Outcome::Checked) => Outcome::Failed,
             (_, outcome) => outcome,
         };
-        self.broker().report(now, order.request, order.attempt, outcome, reply.detail, reply.load())
+        let how = Ended { outcome, detail: reply.detail, load: reply.load() };
+        self.broker().report(now, order.request, order.attempt, how)
     }
 
     fn watch(&self) {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -7,7 +7,7 @@
 use std::io::{self, Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The largest head, its most fields, and the largest body.
 const LARGEST_HEAD: usize = 8 * 1024;
@@ -19,6 +19,8 @@
 /// A connection with no byte for this long is closed, and one that takes none.
 const IDLE: Duration = Duration::from_secs(20);
 const WRITE_STUCK: Duration = Duration::from_secs(10);
+/// A request must be whole this long after its first byte, however its bytes drip in.
+const SLOWEST: Duration = Duration::from_secs(30);
 const NO_DESCRIPTORS: Duration = Duration::from_millis(10);
 /// Advice to a refused client where the module gives none, in microseconds. The field holds whole seconds.
 const BACKOFF: Micros = 1_000_000;
@@ -171,6 +173,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         411 => "Length Required",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
@@ -238,16 +241,24 @@
     stream.set_read_timeout(Some(IDLE))?;
     stream.set_write_timeout(Some(WRITE_STUCK))?;
     let (mut buffer, mut piece, mut continued) = (Vec::new(), [0; 4 * 1024], false);
+    let mut began = Instant::now();
     loop {
         match parse(&buffer) {
             Ok(Parsed::Partial { expects }) => {
                 if expects && !std::mem::replace(&mut continued, true) {
                     stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
                 }
+                if !buffer.is_empty() && began.elapsed() > SLOWEST {
+                    stream.write_all(&answer(408, "", b"", true))?;
+                    return Ok(());
+                }
                 let read = stream.read(&mut piece)?;
                 if read == 0 {
                     return Ok(());
                 }
+                if buffer.is_empty() {
+                    began = Instant::now();
+                }
                 buffer.extend_from_slice(&piece[..read]);
             }
             Ok(Parsed::Whole(taken)) => {
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::{MS, SECOND, fleet, member, settings};
-use sagearch::broker::{Broker, Next, Order, Verdict, Waiter};
+use sagearch::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use sagearch::interface::*;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -38,7 +38,7 @@
 }
 
 fn report(broker: &mut Broker<Told>, now: Micros, order: &Order, outcome: Outcome) -> Next {
-    broker.report(now, order.request, order.attempt, outcome, Detail::Untold, Load::default())
+    broker.report(now, order.request, order.attempt, outcome)
 }
 
 #[test]
@@ -135,14 +135,8 @@
         let mut broker = broker();
         for id in 0..20 {
             let order = attempt(broker.pick(id * SECOND, sized(id), Told::default()));
-            broker.report(
-                id * SECOND + 600 * MS,
-                order.request,
-                0,
-                Outcome::Served,
-                Detail::Filled,
-                Load::default(),
-            );
+            let filled = Ended { detail: Detail::Filled, ..Outcome::Served.into() };
+            broker.report(id * SECOND + 600 * MS, order.request, 0, filled);
         }
         for id in 100..100 + checks {
             let by_name = Request { by_name: true, object: format!("o{id}"), ..request(id, 0) };
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -93,6 +93,18 @@
     assert_eq!((got.status, origin.pulls()), (status, pulls));
 }
 
+/// A refused connection proves that nothing ran: the class that runs once may be refused, and is not failed.
+#[test]
+fn a_refused_connection_is_proof() {
+    let bus = Bus::default();
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut origin = Store::new(9, |_, _| ok(b"")).origin();
+    origin["hostPort"] = json!(closed.to_string());
+    let gateway = gateway(&bus, &[origin]);
+    let got = ask_text(gateway.listen, &request("once/form1", 1, 500, "")).unwrap();
+    assert_eq!((got.status, got.fields["retry-after"].as_str()), (503, "1"));
+}
+
 #[test]
 fn a_client_that_leaves_has_its_attempt_given_up() {
     let bus = Bus::default();
