--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
-//! The decisions of a request router for caches that fill from parent caches and an origin.
+//! A cache gateway: the decisions of a request router for caches that fill from parent caches and an
+//! origin, and round them the sockets. `README.md` shows how the parts fit.
 //!
-//! A gateway makes one [`Router`] from its [`Settings`](interface::Settings), hands it every
-//! [`Event`](interface::Event) with the time, and carries out the [`Action`](interface::Action)s
-//! in their order. The router holds no clock, does no I/O and starts no threads.
+//! A front hands requests to the [`broker`], the only one that speaks to the module itself. It makes one
+//! [`Router`] from its [`Settings`](interface::Settings), hands it every [`Event`](interface::Event) with
+//! the time, and carries out the [`Action`](interface::Action)s in their order. The router holds no clock,
+//! does no I/O and starts no threads.
 //!
 //! ```
 //! use sagearch::{Router, interface::*};
