Agree on the name front's routes by Raft among a few instances, off on the platform

What is agreed on is whom the name front answers and how fast; `sagearch propose` hands it in, and a faulty document is turned away with its key.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,16 +2,18 @@
 //!
 //! The platform gives `NODE_CONFIG`, a JSON file; `NODE_NAME` and `NODE_LISTEN`, where set, go before the
 //! file's values. The name front is on only where a file (`deploy/dns.json`, or what `--dns` names) gives
-//! its listen address. Every message names the key at fault.
+//! its listen address, and instances agree on its routes only where another (`deploy/raft.json`, or what
+//! `--raft` names) says so. Every message names the key at fault.
 
 use crate::interface::Settings;
 use crate::net::bus::Batch;
 use crate::settings::{Names, settings};
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::{IpAddr, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Descriptors assumed where the configuration sets no limit, and the fewest that the gateway can work with.
 const SOCKETS: usize = 1_024;
@@ -52,6 +54,27 @@
     pub settings: Settings,
     pub names: Names,
     pub dns: Option<Dns>,
+    pub raft: Option<Raft>,
+}
+
+/// This instance's place in the group that agrees on the name front's routes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Raft {
+    pub id: u64,
+    pub listen: SocketAddr,
+    /// The others.
+    pub peers: BTreeMap<u64, SocketAddr>,
+    /// Where votes and entries are kept; it must outlive restarts.
+    pub data: PathBuf,
+}
+
+#[derive(Deserialize)]
+struct RaftFile {
+    id: Option<u64>,
+    listen: Option<String>,
+    #[serde(default)]
+    peers: BTreeMap<u64, String>,
+    data: Option<PathBuf>,
 }
 
 #[derive(Deserialize)]
@@ -79,6 +102,12 @@
     pub listen: SocketAddr,
     /// The suffix under which names are answered, in lower case, without dots at its ends.
     pub domain: String,
+    pub routes: Routes,
+}
+
+/// What may change while the name front runs: whom it answers, and how long it may take.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Routes {
     pub deadline_ms: u64,
     pub sources: Vec<Source>,
 }
@@ -115,6 +144,12 @@
 struct DnsFile {
     listen: Option<String>,
     domain: Option<String>,
+    #[serde(flatten)]
+    routes: RoutesFile,
+}
+
+#[derive(Deserialize)]
+struct RoutesFile {
     deadline_ms: Option<u64>,
     #[serde(default)]
     sources: Vec<SourceFile>,
@@ -164,6 +199,7 @@
         settings,
         names,
         dns: None,
+        raft: None,
     })
 }
 
@@ -180,15 +216,16 @@
 pub fn decode_dns(text: &str, names: &Names) -> Result<Option<Dns>, ConfigError> {
     let file: DnsFile = serde_json::from_str(text).map_err(|e| fault("dns", e))?;
     let Some(listen) = file.listen else { return Ok(None) };
-    let listen = address("dns.listen", Some(&listen))?;
-    if !listen.ip().is_loopback() {
-        return Err(fault("dns.listen", format!("{listen} is not a loopback address")));
-    }
+    let listen = loopback("dns.listen", Some(&listen))?;
     let domain = file.domain.ok_or_else(|| fault("dns.domain", "is missing"))?;
     let domain = domain.trim_matches('.').to_ascii_lowercase();
     if domain.is_empty() {
         return Err(fault("dns.domain", "is empty"));
     }
+    Ok(Some(Dns { listen, domain, routes: routes(file.routes, names)? }))
+}
+
+fn routes(file: RoutesFile, names: &Names) -> Result<Routes, ConfigError> {
     let mut sources = Vec::new();
     for source in file.sources {
         if !names.zones.contains_key(&source.zone) {
@@ -201,21 +238,61 @@
     if !(10..=60_000).contains(&deadline_ms) {
         return Err(fault("dns.deadline_ms", format!("{deadline_ms} is not from 10 to 60000")));
     }
-    Ok(Some(Dns { listen, domain, deadline_ms, sources }))
+    Ok(Routes { deadline_ms, sources })
+}
+
+/// Decodes the document that instances agree on: `deadline_ms` and `sources`, as in the name front's file.
+pub fn decode_routes(text: &[u8], names: &Names) -> Result<Routes, ConfigError> {
+    routes(serde_json::from_slice(text).map_err(|e| fault("dns", e))?, names)
+}
+
+fn loopback(key: &str, text: Option<&str>) -> Result<SocketAddr, ConfigError> {
+    let at = address(key, text)?;
+    if at.ip().is_loopback() { Ok(at) } else { Err(fault(key, format!("{at} is not a loopback address"))) }
+}
+
+/// Decodes the group's file. `None`: it names no listen address, so nothing is agreed on.
+pub fn decode_raft(text: &str) -> Result<Option<Raft>, ConfigError> {
+    let file: RaftFile = serde_json::from_str(text).map_err(|e| fault("raft", e))?;
+    let Some(listen) = file.listen else { return Ok(None) };
+    let listen = loopback("raft.listen", Some(&listen))?;
+    let id = file.id.filter(|id| *id > 0).ok_or_else(|| fault("raft.id", "is missing or 0"))?;
+    let mut peers = BTreeMap::new();
+    for (peer, at) in &file.peers {
+        if *peer == id || *peer == 0 {
+            return Err(fault("raft.peers", format!("{peer} is this instance's own id, or 0")));
+        }
+        peers.insert(*peer, loopback("raft.peers", Some(at))?);
+    }
+    if peers.is_empty() {
+        return Err(fault("raft.peers", "are missing"));
+    }
+    let data = file.data.ok_or_else(|| fault("raft.data", "is missing"))?;
+    Ok(Some(Raft { id, listen, peers, data }))
+}
+
+/// A file of ours that may be absent.
+fn optional(key: &str, path: &Path) -> Result<Option<String>, ConfigError> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(Some(text)),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(fault(key, format!("{}: {e}", path.display()))),
+    }
 }
 
 /// Reads the environment and the files that it names.
-pub fn read(config: Option<&Path>, dns: &Path) -> Result<Config, ConfigError> {
+pub fn read(config: Option<&Path>, dns: &Path, raft: &Path) -> Result<Config, ConfigError> {
     let var = |key| std::env::var(key).ok().filter(|value| !value.is_empty());
     let path = config.map(Path::to_path_buf).or(var("NODE_CONFIG").map(Into::into));
     let path = path.ok_or_else(|| fault("NODE_CONFIG", "is not set"))?;
     let text = std::fs::read_to_string(&path)
         .map_err(|e| fault("NODE_CONFIG", format!("{}: {e}", path.display())))?;
     let mut config = decode(&text, var("NODE_NAME"), var("NODE_LISTEN"))?;
-    match std::fs::read_to_string(dns) {
-        Ok(text) => config.dns = decode_dns(&text, &config.names)?,
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => {}
-        Err(e) => return Err(fault("dns", format!("{}: {e}", dns.display()))),
+    if let Some(text) = optional("dns", dns)? {
+        config.dns = decode_dns(&text, &config.names)?;
+    }
+    if let Some(text) = optional("raft", raft)? {
+        config.raft = decode_raft(&text)?;
     }
     Ok(config)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,7 @@
 mod brain;
 pub mod broker;
 pub mod config;
+pub mod consensus;
 pub mod interface;
 pub mod log;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,7 +3,9 @@
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use sagearch::config::{self, Config};
+use sagearch::consensus;
 use sagearch::net::{self, gateway::Gateway, signal};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,6 +23,9 @@
     /// The name front's file; without one, or without a listen address in it, that front is off
     #[arg(long, global = true, value_name = "FILE", default_value = "deploy/dns.json")]
     dns: PathBuf,
+    /// The file of the group that agrees on the name front's routes; without one, nothing is agreed on
+    #[arg(long, global = true, value_name = "FILE", default_value = "deploy/raft.json")]
+    raft: PathBuf,
     /// How much is logged: off, error, warn, info, debug or trace
     #[arg(long, global = true, default_value = "info")]
     log: LevelFilter,
@@ -34,6 +39,13 @@
     Version,
     /// Read and check the configuration, and say what it holds
     CheckConfig,
+    /// Have the group agree on new routes of the name front: `deadline_ms` and `sources`, as in its file
+    Propose {
+        /// Where an instance of the group listens
+        #[arg(long, value_name = "ADDRESS")]
+        to: SocketAddr,
+        file: PathBuf,
+    },
 }
 
 fn serve(config: Config) -> Result<(), String> {
@@ -47,13 +59,19 @@
 }
 
 fn run(cli: Cli) -> Result<(), String> {
-    let read = || config::read(cli.config.as_deref(), &cli.dns).map_err(|e| e.to_string());
+    let read = || config::read(cli.config.as_deref(), &cli.dns, &cli.raft).map_err(|e| e.to_string());
     match cli.command {
         None | Some(Command::Serve) => serve(read()?),
         Some(Command::Version) => {
             println!("sagearch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        Some(Command::Propose { to, file }) => {
+            let document = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            consensus::propose(to, &document)?;
+            println!("agreed");
+            Ok(())
+        }
         Some(Command::CheckConfig) => {
             let config = read()?;
             println!("{} listens on {}, its event bus is {}", config.name, config.listen, config.bus);
@@ -62,6 +80,12 @@
                 Some(dns) => println!("names under {} are answered on {}", dns.domain, dns.listen),
                 None => println!("the name front is off"),
             }
+            match &config.raft {
+                Some(raft) => {
+                    println!("instance {} of {} agrees on its routes", raft.id, raft.peers.len() + 1)
+                }
+                None => println!("its routes are this instance's own"),
+            }
             Ok(())
         }
     }
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -7,7 +7,7 @@
 
 use super::gateway::{Final, Shared, Work};
 use super::lock;
-use crate::config::{Dns, Source};
+use crate::config::{Dns, Routes};
 use crate::interface::{Effect, Request, RequestId};
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA};
@@ -63,7 +63,6 @@
 
 struct Front {
     shared: Arc<Shared>,
-    dns: Dns,
     domain: Name,
     gateway: IpAddr,
     ids: AtomicU64,
@@ -99,11 +98,7 @@
 }
 
 impl Front {
-    fn source(&self, from: IpAddr) -> Option<&Source> {
-        self.dns.sources.iter().find(|source| source.holds(from))
-    }
-
-    fn judge(&self, query: &Message, from: IpAddr) -> Judged {
+    fn judge(&self, query: &Message, from: IpAddr, routes: &Routes) -> Judged {
         let [question] = query.queries() else { return Judged::Code(ResponseCode::FormErr) };
         if query.op_code() != OpCode::Query {
             return Judged::Code(ResponseCode::NotImp);
@@ -112,9 +107,10 @@
             return Judged::Code(ResponseCode::BADVERS);
         }
         // Clients come to the gateways of their own outlet; others go on to their next server.
-        let here =
-            |source: &&Source| self.shared.names.zones.get(&source.zone) == Some(&self.shared.settings.zone);
-        let source = self.source(from).filter(here);
+        let source =
+            routes.sources.iter().find(|source| source.holds(from)).filter(|source| {
+                self.shared.names.zones.get(&source.zone) == Some(&self.shared.settings.zone)
+            });
         let class = |name: &str| self.shared.names.classes.get(name).copied();
         let named = named(question.name(), &self.domain, class);
         let (Some(source), true) = (source, question.query_class() == DNSClass::IN) else {
@@ -156,12 +152,13 @@
                 return if flags & 0x80 == 0 { malformed.to_vec().ok() } else { None };
             }
         };
-        let reply = match self.judge(&query, from) {
+        let routes = self.shared.routes();
+        let reply = match self.judge(&query, from, &routes) {
             Judged::Code(code) => self.reply(&query, code, None),
             Judged::NoData => self.reply(&query, ResponseCode::NoError, None),
             Judged::Own => self.address(&query, Some(self.gateway)),
             Judged::LookUp { class, object, part } => {
-                let found = self.look_up(class, object, part);
+                let found = self.look_up(class, object, part, routes.deadline_ms);
                 self.address(&query, found)
             }
         };
@@ -173,13 +170,13 @@
     }
 
     /// Takes a look-up through the core. A refusal, a failure and the deadline give nothing.
-    fn look_up(&self, class: usize, object: String, part: u32) -> Option<IpAddr> {
+    fn look_up(&self, class: usize, object: String, part: u32, deadline_ms: u64) -> Option<IpAddr> {
         let _place = super::Place::take(&self.lookups, MOST_LOOKUPS)?;
         let _open = self.shared.taken();
         let request = Request {
             id: RequestId(self.ids.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst)),
             class: Some(class),
-            budget: self.dns.deadline_ms * 1_000,
+            budget: deadline_ms * 1_000,
             object,
             part,
             by_name: true,
@@ -312,12 +309,12 @@
     let domain = Name::from_ascii(format!("{}.", dns.domain));
     let domain =
         domain.map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("dns.domain: {e}")))?;
+    shared.set_routes(dns.routes);
     let (socket, listener) = bind(dns.listen)?;
     let at = socket.local_addr()?;
     log::info!("names under {domain} are answered at {at}");
     let front = Arc::new(Front {
         shared: shared.clone(),
-        dns,
         domain,
         gateway: gateway.ip(),
         ids: AtomicU64::new(seed ^ 0x5eed_0fd0_0e5a_11d5),
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -6,7 +6,8 @@
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
 use super::{Place, dns, http, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
-use crate::config::Config;
+use crate::config::{Config, Routes, decode_routes};
+use crate::consensus::Instance;
 use crate::interface::*;
 use crate::settings::Names;
 use may::net::{TcpListener, TcpStream};
@@ -88,6 +89,7 @@
     watched: Mutex<HashMap<u64, Mailbox>>,
     watches: AtomicU64,
     listed: AtomicBool,
+    routes: Mutex<Arc<Routes>>,
     open: Arc<AtomicUsize>,
 }
 
@@ -100,6 +102,15 @@
         self.stores.address(member)
     }
 
+    /// Whom the name front answers now.
+    pub fn routes(&self) -> Arc<Routes> {
+        lock(&self.routes).clone()
+    }
+
+    pub fn set_routes(&self, routes: Routes) {
+        *lock(&self.routes) = Arc::new(routes);
+    }
+
     /// Counts a request as open until what is returned is dropped.
     pub(super) fn taken(&self) -> Option<Place> {
         Place::take(&self.open, usize::MAX)
@@ -232,12 +243,15 @@
     pub shared: Arc<Shared>,
     pub listen: SocketAddr,
     pub dns: Option<SocketAddr>,
+    /// Where routes are agreed on, with the other instances of the group.
+    pub raft: Option<Instance>,
 }
 
 impl Gateway {
     /// Applies what is known, then listens.
     pub fn start(config: Config) -> io::Result<Gateway> {
-        let Config { name, listen, seed, memory_mb, sockets, bus, known, settings, names, dns, .. } = config;
+        let Config { name, listen, seed, memory_mb, sockets, bus, known, settings, names, dns, raft, .. } =
+            config;
         let clock = Clock::default();
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
@@ -253,6 +267,7 @@
             watched: Mutex::default(),
             watches: AtomicU64::new(0),
             listed: AtomicBool::new(false),
+            routes: Mutex::default(),
             open: Arc::default(),
         });
         let last = known.offset;
@@ -260,6 +275,21 @@
         let listener = TcpListener::bind(listen)?;
         let listen = listener.local_addr()?;
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
+        let raft = raft.map(|raft| {
+            let (checking, applying) = (shared.clone(), shared.clone());
+            let check = move |text: &[u8]| match decode_routes(text, &checking.names) {
+                Ok(_) => Ok(()),
+                Err(e) => Err(e.to_string()),
+            };
+            Instance::start(&raft, Arc::new(check), move |text| match decode_routes(text, &applying.names) {
+                Ok(routes) => {
+                    log::info!("agreed: {} sources of look-ups", routes.sources.len());
+                    applying.set_routes(routes);
+                }
+                Err(e) => log::error!("agreed, but not usable here: {e}"),
+            })
+        });
+        let raft = raft.transpose()?;
         // Each client may have an answer of 240,000 bytes in memory.
         let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * 4);
         let serving = shared.clone();
@@ -280,7 +310,7 @@
             }
         });
         log::info!("{name} serves at {listen}");
-        Ok(Gateway { shared, listen, dns })
+        Ok(Gateway { shared, listen, dns, raft })
     }
 
     /// Returns once the flag has been set, requests have had time to come to an end, and all taken ones
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 use rstest::rstest;
-use sagearch::config::{decode, decode_dns};
+use sagearch::config::{decode, decode_dns, decode_raft};
 use serde_json::{Value, json};
 use stand::*;
 
@@ -54,15 +54,31 @@
     assert_eq!(got.map(|dns| dns.is_some()).map_err(|error| error.key), want.map_err(String::from));
 }
 
+#[rstest]
+#[case(json!({"id": 1, "listen": "127.0.0.1:1", "peers": {"2": "127.0.0.1:2"}, "data": "/d"}), Ok(true))]
+#[case(json!({"id": 1, "peers": {"2": "127.0.0.1:2"}}), Ok(false))]
+#[case(json!({"listen": "127.0.0.1:1", "peers": {"2": "127.0.0.1:2"}, "data": "/d"}), Err("raft.id"))]
+#[case(json!({"id": 1, "listen": "10.0.0.1:1"}), Err("raft.listen"))]
+#[case(json!({"id": 1, "listen": "127.0.0.1:1", "data": "/d"}), Err("raft.peers"))]
+#[case(json!({"id": 1, "listen": "127.0.0.1:1", "peers": {"1": "127.0.0.1:2"}, "data": "/d"}), Err("raft.peers"))]
+#[case(json!({"id": 1, "listen": "127.0.0.1:1", "peers": {"2": "127.0.0.1:2"}}), Err("raft.data"))]
+fn a_group_is_on_only_where_it_is_told_where(#[case] file: Value, #[case] want: Result<bool, &str>) {
+    let got = decode_raft(&file.to_string());
+    assert_eq!(got.map(|raft| raft.is_some()).map_err(|error| error.key), want.map_err(String::from));
+}
+
 #[test]
-fn the_example_file_is_usable_and_none_is_switched_on() {
+fn the_example_files_are_usable_and_none_is_switched_on() {
     let deploy = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy");
-    assert!(!deploy.join("dns.json").exists());
+    assert!(!deploy.join("dns.json").exists() && !deploy.join("raft.json").exists());
+    let group =
+        decode_raft(&std::fs::read_to_string(deploy.join("raft.example.json")).unwrap()).unwrap().unwrap();
+    assert_eq!((group.id, group.peers.len()), (1, 2));
     let example = std::fs::read_to_string(deploy.join("dns.example.json")).unwrap();
     let mut names = decode(&good().to_string(), None, None).unwrap().names;
     names.zones.insert("edge-1".into(), 1);
     let dns = decode_dns(&example, &names).unwrap().unwrap();
-    let from = |ip: &str| dns.sources.iter().find(|source| source.holds(ip.parse().unwrap()));
+    let from = |ip: &str| dns.routes.sources.iter().find(|source| source.holds(ip.parse().unwrap()));
     assert!(from("127.0.0.9").unwrap().ignores_lifetimes && !from("127.1.2.3").unwrap().ignores_lifetimes);
     assert!(from("128.0.0.1").is_none() && from("::1").is_none());
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins on loopback for tests of the gateway: stores, an event bus and clients, on plain threads.
 #![allow(dead_code)]
 
+use sagearch::config::Raft;
 use sagearch::net::{self, gateway::Gateway};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -200,12 +201,23 @@
 }
 
 pub fn gateway_with(bus: &Bus, instances: &[Value], sockets: usize, dns: Option<Value>) -> Gateway {
+    gateway_in_group(bus, instances, sockets, dns, None)
+}
+
+pub fn gateway_in_group(
+    bus: &Bus,
+    instances: &[Value],
+    sockets: usize,
+    dns: Option<Value>,
+    raft: Option<Raft>,
+) -> Gateway {
     static SET_UP: Once = Once::new();
     SET_UP.call_once(net::set_up);
     bus.list(instances);
     let text = config(bus, "127.0.0.1:0", sockets).to_string();
     let mut config = sagearch::config::decode(&text, None, None).unwrap();
     config.dns = dns.and_then(|dns| sagearch::config::decode_dns(&dns.to_string(), &config.names).unwrap());
+    config.raft = raft;
     Gateway::start(config).unwrap()
 }
 
