--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -220,6 +220,14 @@
             (_, outcome) => outcome,
         };
         let how = Ended { outcome, detail: reply.detail, load: reply.load() };
+        log::debug!(
+            "{:016x} attempt {} at {:08x}: {outcome:?} {:?} after {} ms",
+            order.request.0,
+            order.attempt,
+            order.member.0,
+            how.detail,
+            now.saturating_sub(order.picked) / 1_000,
+        );
         self.broker().report(now, order.request, order.attempt, how)
     }
 
