Take connection limits from the settings, and keep one silent store from the others' share

Seen on review of src/net/gateway.rs and store.rs: streams a connection, the connect time-out and the idle time stood in the code, though the settings tell them and another deployment's may differ; one silent store could take the whole table of connections, as each time-out in silence opens a new one; and what was queued but not written on a connection that broke counted as unreachable, which takes a healthy store out at once (Router::strike with weight 1), where not sent is what is known.

Now: settings.rs gives Connections, 32 connections to one store at most, NotSent for what was never written on an established connection; a name front is refused where the settings allow no probes.

Tests: connections_go_by_the_settings, a_silent_store_takes_no_more_than_its_share.

--- a/src/config.rs
+++ b/src/config.rs
@@ -217,6 +217,9 @@
     let file: DnsFile = serde_json::from_str(text).map_err(|e| fault("dns", e))?;
     let Some(listen) = file.listen else { return Ok(None) };
     let listen = loopback("dns.listen", Some(&listen))?;
+    if !names.connections.probes {
+        return Err(fault("dns.listen", "the settings allow no probes, and look-ups check by them"));
+    }
     let domain = file.domain.ok_or_else(|| fault("dns.domain", "is missing"))?;
     let domain = domain.trim_matches('.').to_ascii_lowercase();
     if domain.is_empty() {
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -26,11 +26,8 @@
 const SWEEP_EVERY: u32 = 250;
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
 const LINGER: Duration = Duration::from_millis(1_000);
-const STREAMS: usize = 100;
-const CONNECT: Duration = Duration::from_millis(400);
 /// Memory that is kept out of the reckoning of answers.
 const MEMORY_OWN_MB: usize = 32;
-const IDLE: Duration = Duration::from_secs(20);
 
 /// What a waiting request is told.
 #[derive(Debug)]
@@ -264,8 +261,15 @@
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
         let gate = Arc::new(move |order: &Order| lock(&asked).may_send(order));
-        // Each connection to a store takes two descriptors, one for each way.
-        let limits = Limits { streams: STREAMS, connections: sockets / 8, connect: CONNECT, idle: IDLE };
+        let told = names.connections;
+        let limits = Limits {
+            streams: told.streams,
+            // Each connection to a store takes two descriptors, one for each way.
+            connections: sockets / 8,
+            connect: Duration::from_micros(told.timeout),
+            // Well before the store closes it: a request must not cross with that.
+            idle: Duration::from_micros(told.keepalive) * 2 / 3,
+        };
         let shared = Arc::new(Shared {
             clock,
             names,
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -22,6 +22,8 @@
 const KILLED_KEPT: usize = 256;
 /// A store that takes no bytes for this long has its connection closed.
 const WRITE_STUCK: Duration = Duration::from_secs(2);
+/// Connections to one store, those included that take nothing new and wait for their last answers.
+const PER_STORE: usize = 32;
 const PIECE: usize = 32 * 1024;
 
 /// How an attempt or a check ended, as far as the wire tells.
@@ -411,8 +413,8 @@
         if let Some(conn) = store.conns.iter().find(fits) {
             return Some(conn.clone());
         }
-        // Descriptors are bounded: a full table refuses.
-        if total >= self.limits.connections {
+        // Descriptors are bounded, and one store that is silent must not take the others' share.
+        if total >= self.limits.connections || store.conns.len() >= PER_STORE.min(self.limits.connections) {
             return None;
         }
         let at = store.at?;
@@ -459,8 +461,9 @@
             if let Err(e) = read_answers(&ours, &mut reader) {
                 log::debug!("store {at}: {e}");
             }
-            // A reset by a dying process, or a bad line: nothing more comes here.
-            ours.fail_all(&End::Unreachable);
+            // A reset by a dying process, or a bad line: nothing more comes here. What had not been written is
+            // no sign that the store can't be reached: it goes by another connection.
+            ours.fail_all(&End::NotSent);
             let _ = reader.shutdown(Shutdown::Both);
             let _ = ours.queue.send(Out::Close);
         });
@@ -492,7 +495,7 @@
                 break;
             }
         }
-        conn.fail_all(&End::Unreachable);
+        conn.fail_all(&End::NotSent);
         let _ = writer.shutdown(Shutdown::Both);
     }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -64,11 +64,45 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "PascalCase", default)]
 struct Limits {
+    connect_timeout: Micros,
+    keepalive: Micros,
     may_cancel: bool,
     max_retry_after: Micros,
+    probes: bool,
     retry_after: bool,
     second_copies: bool,
     send_cap: u32,
+    streams_per_conn: usize,
+}
+
+/// What the settings say of connections to stores; the module has no part in it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connections {
+    /// Attempts that one carries at a time.
+    pub streams: usize,
+    /// One that has not come up in this time counts as refused.
+    pub timeout: Micros,
+    /// Stores close those that are idle for this long.
+    pub keepalive: Micros,
+    /// Stores may be probed.
+    pub probes: bool,
+}
+
+/// Where the settings are silent.
+const STREAMS: usize = 100;
+const CONNECT: Micros = 400_000;
+const KEEPALIVE: Micros = 30_000_000;
+
+impl Limits {
+    fn connections(&self) -> Connections {
+        let told = |value: Micros, default| if value > 0 { value } else { default };
+        Connections {
+            streams: if self.streams_per_conn > 0 { self.streams_per_conn } else { STREAMS },
+            timeout: told(self.connect_timeout, CONNECT),
+            keepalive: told(self.keepalive, KEEPALIVE),
+            probes: self.probes,
+        }
+    }
 }
 
 #[derive(Deserialize, Default)]
@@ -95,6 +129,7 @@
     pub origin_kind: i64,
     pub inflight_at: Option<usize>,
     pub busy_at: Option<usize>,
+    pub connections: Connections,
 }
 
 fn index(names: &[String]) -> BTreeMap<String, usize> {
@@ -141,6 +176,7 @@
         inflight_at: env.report.fields.iter().position(|field| field == "rif"),
         busy_at: env.report.fields.iter().position(|field| field == "busy"),
         zones,
+        connections: env.limits.connections(),
     };
     let settings = Settings {
         classes,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -3,6 +3,7 @@
 mod stand;
 use rstest::rstest;
 use sagearch::config::{decode, decode_dns, decode_raft};
+use sagearch::settings::Connections;
 use serde_json::{Value, json};
 use stand::*;
 
@@ -20,6 +21,24 @@
     assert_eq!(config.settings.classes.len(), 3);
 }
 
+#[test]
+fn connections_go_by_the_settings() {
+    let mut told = good();
+    let connections = |config: &Value| decode(&config.to_string(), None, None).unwrap().names.connections;
+    let silent = connections(&told);
+    assert_eq!((silent.streams, silent.timeout, silent.keepalive), (100, 400_000, 30_000_000));
+    let limits = &mut told["settings"]["Limits"];
+    limits["StreamsPerConn"] = json!(1);
+    limits["ConnectTimeout"] = json!(250_000);
+    limits["Keepalive"] = json!(9_000_000);
+    limits["Probes"] = json!(false);
+    let want = Connections { streams: 1, timeout: 250_000, keepalive: 9_000_000, probes: false };
+    assert_eq!(connections(&told), want);
+    let names = decode(&told.to_string(), None, None).unwrap().names;
+    let front = json!({"listen": "127.0.0.1:53", "domain": "a.test"}).to_string();
+    assert_eq!(decode_dns(&front, &names).unwrap_err().key, "dns.listen");
+}
+
 #[rstest]
 #[case("name", Value::Null, "name")]
 #[case("listen", json!("somewhere"), "listen")]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -242,6 +242,21 @@
     assert!((300..1_500).contains(&got.took.as_millis()), "{:?}", got.took);
 }
 
+/// What a connection carries at a time is bounded by the settings: more takes another connection, and a table
+/// that is full refuses at once.
+#[test]
+fn a_silent_store_takes_no_more_than_its_share() {
+    let bus = Bus::default();
+    let silent = Store::new(1, |_, _| Do::Nothing);
+    let gateway = gateway_with_streams(&bus, &[silent.cache()], 2);
+    let held: Vec<TcpStream> =
+        (0..80).map(|id| send(gateway.listen, &request(&format!("video/o{id}"), id, 1_500, ""))).collect();
+    wait_for("the attempts", || silent.pulls() >= 64);
+    let refused = held.iter().filter_map(|asked| read_answer(asked, Instant::now()));
+    assert_eq!(refused.filter(|answer| answer.status == 503).count(), 80);
+    assert_eq!((silent.connections(), silent.pulls()), (32, 64));
+}
+
 #[test]
 fn a_bus_that_hangs_up_is_called_again_at_once() {
     let bus = Bus::default();
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,13 +1,13 @@
 //! Stand-ins on loopback for tests of the gateway: stores, an event bus and clients, on plain threads.
 #![allow(dead_code)]
 
-use sagearch::config::Raft;
+use sagearch::config::{Config, Raft, decode, decode_dns};
 use sagearch::net::{self, gateway::Gateway};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, Once};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -30,6 +30,7 @@
     pub name: String,
     pub at: SocketAddr,
     lines: Arc<Mutex<Vec<String>>>,
+    accepted: Arc<AtomicUsize>,
 }
 
 impl Store {
@@ -40,10 +41,17 @@
     pub fn at(ip: IpAddr, id: u32, does: impl Fn(&str, &[u8]) -> Do + Send + Sync + 'static) -> Store {
         let listener = TcpListener::bind((ip, 0)).unwrap();
         let name = format!("s-{id:08x}");
-        let store = Store { name, at: listener.local_addr().unwrap(), lines: Arc::default() };
+        let store = Store {
+            name,
+            at: listener.local_addr().unwrap(),
+            lines: Arc::default(),
+            accepted: Arc::default(),
+        };
+        let accepted = store.accepted.clone();
         let (lines, does) = (store.lines.clone(), Arc::new(does));
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                accepted.fetch_add(1, Ordering::SeqCst);
                 let (lines, does) = (lines.clone(), does.clone());
                 thread::spawn(move || serve_lines(&stream, &lines, &*does));
             }
@@ -55,6 +63,10 @@
         self.lines.lock().unwrap().iter().filter(|line| line.starts_with(word)).cloned().collect()
     }
 
+    pub fn connections(&self) -> usize {
+        self.accepted.load(Ordering::SeqCst)
+    }
+
     pub fn pulls(&self) -> usize {
         self.lines("PULL").len()
     }
@@ -181,7 +193,7 @@
             "ZoneBalancers": [0, 1]},
         "Instances": 1,
         "Kinds": ["box", "parent", "origin"],
-        "Limits": {"MayCancel": true, "SendCap": 6, "RetryAfter": false, "SecondCopies": false,
+        "Limits": {"MayCancel": true, "Probes": true, "SendCap": 6, "RetryAfter": false, "SecondCopies": false,
             "MaxRetryAfter": 2_000_000},
         "Obligations": {"DrainGrace": 1_000_000, "Fall": 3_000_000, "FallMultiple": 2.5,
             "StartCapacity": 0.15, "WarmUp": 13_000_000},
@@ -204,6 +216,10 @@
     gateway_in_group(bus, instances, sockets, dns, None)
 }
 
+pub fn gateway_with_streams(bus: &Bus, instances: &[Value], streams: usize) -> Gateway {
+    start(bus, instances, 1024, |config| config.names.connections.streams = streams)
+}
+
 pub fn gateway_in_group(
     bus: &Bus,
     instances: &[Value],
@@ -211,13 +227,20 @@
     dns: Option<Value>,
     raft: Option<Raft>,
 ) -> Gateway {
+    start(bus, instances, sockets, |config| {
+        let front = |dns: Value| decode_dns(&dns.to_string(), &config.names).unwrap();
+        config.dns = dns.and_then(front);
+        config.raft = raft;
+    })
+}
+
+fn start(bus: &Bus, instances: &[Value], sockets: usize, change: impl FnOnce(&mut Config)) -> Gateway {
     static SET_UP: Once = Once::new();
     SET_UP.call_once(net::set_up);
     bus.list(instances);
     let text = config(bus, "127.0.0.1:0", sockets).to_string();
-    let mut config = sagearch::config::decode(&text, None, None).unwrap();
-    config.dns = dns.and_then(|dns| sagearch::config::decode_dns(&dns.to_string(), &config.names).unwrap());
-    config.raft = raft;
+    let mut config = decode(&text, None, None).unwrap();
+    change(&mut config);
     Gateway::start(config).unwrap()
 }
 
