Start on machines of 32 MB, and follow the bus where SIGHUP's configuration says

Nothing took SIGHUP, which ends a process.

Now 24 MB is the least, and clients are reckoned from what a gateway at rest leaves of the limit. SIGHUP has the file read again and checked on the signals' thread; a second follower of the bus takes over at the last offset, while the poll under way is still taken in. A file that can't be used changes nothing.

--- a/src/config.rs
+++ b/src/config.rs
@@ -18,7 +18,9 @@
 /// Descriptors assumed where the configuration sets no limit, and the fewest that the gateway can work with.
 const SOCKETS: usize = 1_024;
 const SOCKETS_LEAST: usize = 64;
+/// The same for memory. A gateway at rest takes under 8 MB; the rest is for requests that are open.
 const MEMORY_MB: usize = 192;
+const MEMORY_MB_LEAST: usize = 24;
 /// How long a resolver waits, where the file does not say.
 const DNS_DEADLINE_MS: u64 = 1_000;
 
@@ -192,7 +194,7 @@
         name: name.or(file.name).ok_or_else(|| fault("name", "is missing"))?,
         listen: address(listen_key, listen.or(file.listen).as_deref())?,
         seed: seed(file.seed.as_ref())?,
-        memory_mb: at_least("limits.memory_mb", file.limits.memory_mb.unwrap_or(MEMORY_MB), 64)?,
+        memory_mb: at_least("limits.memory_mb", file.limits.memory_mb.unwrap_or(MEMORY_MB), MEMORY_MB_LEAST)?,
         sockets: at_least("limits.sockets", file.limits.sockets.unwrap_or(SOCKETS), SOCKETS_LEAST)?,
         bus: address("bus", file.bus.as_deref())?,
         known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::{Arc, OnceLock};
 
 #[derive(Parser)]
 #[command(
@@ -48,20 +49,28 @@
     },
 }
 
-fn serve(config: Config) -> Result<(), String> {
+fn serve(read: impl Fn() -> Result<Config, String> + Send + 'static) -> Result<(), String> {
     net::set_up();
-    let stop = signal::stop_flag().map_err(|e| format!("signals: {e}"))?;
+    let started: Arc<OnceLock<Gateway>> = Arc::default();
+    let (serving, config) = (started.clone(), read()?);
+    // A file that can't be used leaves all as it is: a slip in it must not take a serving gateway down.
+    let reload = move || match read() {
+        Ok(config) => serving.wait().reload(&config),
+        Err(cause) => log::error!("{cause}; going on with the configuration in force"),
+    };
+    let stop = signal::take(reload).map_err(|e| format!("signals: {e}"))?;
     let listen = config.listen;
     let gateway = Gateway::start(config).map_err(|e| format!("{listen}: {e}"))?;
-    gateway.finish(&stop);
+    started.get_or_init(|| gateway).finish(&stop);
     log::info!("all that was taken has been answered");
     Ok(())
 }
 
 fn run(cli: Cli) -> Result<(), String> {
-    let read = || config::read(cli.config.as_deref(), &cli.dns, &cli.raft).map_err(|e| e.to_string());
-    match cli.command {
-        None | Some(Command::Serve) => serve(read()?),
+    let Cli { command, config, dns, raft, .. } = cli;
+    let read = move || config::read(config.as_deref(), &dns, &raft).map_err(|e| e.to_string());
+    match command {
+        None | Some(Command::Serve) => serve(read),
         Some(Command::Version) => {
             println!("sagearch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -1,12 +1,15 @@
 //! The event bus: lists of stores and purges, by long poll.
 
 use super::gateway::Shared;
+use super::lock;
 use crate::interface::{ListKind, Member, MemberId, MemberState};
 use crate::settings::Names;
 use may::net::TcpStream;
 use serde::Deserialize;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// How long one poll is held. Short, so that a bus gone silent is called anew long before the 7 s after
@@ -202,12 +205,37 @@
     Ok(stream)
 }
 
-/// Polls for ever and hands every event on. A lost connection is opened again at once.
-pub fn follow(shared: &Shared, at: SocketAddr, mut last: u64) {
+/// How far the bus has been followed. One follower polls at a time; a second one comes with a new address.
+#[derive(Default)]
+pub struct Feed {
+    last: Mutex<u64>,
+    follower: AtomicU64,
+}
+
+/// Takes in what is new of a batch. Held throughout: two followers that overlap must not take an event twice,
+/// nor a later one first.
+pub fn take(shared: &Shared, batch: Batch) {
+    let mut last = lock(&shared.feed.last);
+    let batch = batch.after(*last);
+    *last = batch.offset.max(*last);
+    shared.apply(batch);
+}
+
+/// Follows the bus at an address, from the last event on, in place of the follower before. That one still
+/// hands on what its poll under way brings, and then ends.
+pub fn follow(shared: &Arc<Shared>, at: SocketAddr) {
+    let shared = shared.clone();
+    let number = shared.feed.follower.fetch_add(1, Ordering::SeqCst) + 1;
+    super::spawn(move || poll(&shared, at, number));
+}
+
+/// Polls and hands every event on. A lost connection is opened again at once.
+fn poll(shared: &Shared, at: SocketAddr, number: u64) {
     let mut line: Option<(TcpStream, Vec<u8>)> = None;
     let mut told = false;
-    loop {
+    while shared.feed.follower.load(Ordering::SeqCst) == number {
         let fresh = line.is_none();
+        let last = *lock(&shared.feed.last);
         let mut poll = || -> io::Result<Batch> {
             let (mut stream, mut buffer) = match line.take() {
                 Some(line) => line,
@@ -223,12 +251,10 @@
         };
         match poll() {
             Ok(batch) => {
-                let batch = batch.after(last);
                 if std::mem::take(&mut told) {
                     log::info!("event bus: connected again");
                 }
-                last = last.max(batch.offset);
-                shared.apply(batch);
+                take(shared, batch);
             }
             Err(e) => {
                 // Once a trouble, not once a try; and one that refuses at once is not asked in a busy loop.
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -26,8 +26,10 @@
 const SWEEP_EVERY: u32 = 250;
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
 const LINGER: Duration = Duration::from_millis(1_000);
-/// Memory that is kept out of the reckoning of answers.
-const MEMORY_OWN_MB: usize = 32;
+/// Memory that is kept out of the reckoning of answers, and what one answer may take of the rest: an object
+/// of 240,000 bytes, its request's buffers and its coroutine's stack.
+const MEMORY_OWN_MB: usize = 8;
+const ANSWERS_PER_MB: usize = 4;
 
 /// What a waiting request is told.
 #[derive(Debug)]
@@ -86,6 +88,8 @@
     watched: Mutex<HashMap<u64, Mailbox>>,
     watches: AtomicU64,
     listed: AtomicBool,
+    /// Where the event bus is followed, and how far.
+    pub(super) feed: bus::Feed,
     routes: Mutex<Arc<Routes>>,
     open: Arc<AtomicUsize>,
 }
@@ -279,11 +283,11 @@
             watched: Mutex::default(),
             watches: AtomicU64::new(0),
             listed: AtomicBool::new(false),
+            feed: bus::Feed::default(),
             routes: Mutex::default(),
             open: Arc::default(),
         });
-        let last = known.offset;
-        shared.apply(known);
+        bus::take(&shared, known);
         let listener = TcpListener::bind(listen)?;
         let listen = listener.local_addr()?;
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
@@ -302,12 +306,10 @@
             })
         });
         let raft = raft.transpose()?;
-        // Each client may have an answer of 240,000 bytes in memory.
-        let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * 4);
+        let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
         let serving = shared.clone();
         super::spawn(move || http::listen(&serving, &listener, most));
-        let following = shared.clone();
-        super::spawn(move || bus::follow(&following, bus, last));
+        bus::follow(&shared, bus);
         let timed = shared.clone();
         super::spawn(move || {
             for round in 0_u32.. {
@@ -325,6 +327,13 @@
         Ok(Gateway { shared, listen, dns, raft })
     }
 
+    /// Takes in a configuration that has replaced the one of the start: the event bus is followed at its new
+    /// address, from the last event on. All else holds until a restart. Nothing under way is touched.
+    pub fn reload(&self, config: &Config) {
+        log::info!("configuration read again: the event bus is {}", config.bus);
+        bus::follow(&self.shared, config.bus);
+    }
+
     /// Returns once the flag has been set, requests have had time to come to an end, and all taken ones
     /// are answered. Runs on the caller's own thread.
     pub fn finish(&self, stop: &AtomicBool) {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -305,3 +305,51 @@
         thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// The program itself, as the platform starts it.
+pub struct Program {
+    pub at: SocketAddr,
+    file: std::path::PathBuf,
+    process: std::process::Child,
+}
+
+impl Program {
+    pub fn start(bus: &Bus) -> Program {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let name = format!("sagearch-{}-{}.json", std::process::id(), STARTED.fetch_add(1, Ordering::SeqCst));
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, config(bus, &at.to_string(), 1024).to_string()).unwrap();
+        let process = std::process::Command::new(env!("CARGO_BIN_EXE_sagearch"))
+            .env("NODE_CONFIG", &file)
+            .env_remove("NODE_NAME")
+            .env_remove("NODE_LISTEN")
+            .spawn()
+            .unwrap();
+        wait_for("it listens", || TcpStream::connect(at).is_ok());
+        Program { at, file, process }
+    }
+
+    /// Replaces its configuration.
+    pub fn write(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let (signal, id) = (format!("-{name}"), self.process.id().to_string());
+        assert!(std::process::Command::new("kill").args([signal, id]).status().unwrap().success());
+    }
+
+    pub fn end(mut self) -> std::process::ExitStatus {
+        self.process.wait().unwrap()
+    }
+}
+
+/// A test that fails must leave no process behind: it would hold the runner's output open for ever.
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
