Give each attempt its own store connection, and judge answers by what was asked for

Read in store.rs: attempts share a connection up to the settings' streams; fail_all hands the others their Reset before the connection is shut; a KILL and the next attempt leave by two connections at once, and the KILL to a far hub has up to 40 ms more of way. An answer already given left its id free for an extra copy to end the next attempt; an unasked 'current' served a 304; 'no' to a PULL counted as proof that nothing ran.

Now: a free connection or a new one before a shared one; one descriptor a connection in place of two, a third of the limit; the socket is shut first, then the others hear of it; 10 ms between a KILL or a reset and the next attempt; an answer that stops for 300 ms ends; ended ids are never used again on their connection; an answer of a kind that was not asked for is an error, which may have run.

--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -23,7 +23,10 @@
 const TICK: Duration = Duration::from_millis(2);
 /// How often clients are looked at for having left, and connections to stores for being idle.
 const WATCH_EVERY: u32 = 10;
-const SWEEP_EVERY: u32 = 250;
+const SWEEP_EVERY: u32 = 50;
+/// A KILL, or the end of a connection, is on its way this long at most before the next attempt goes out by
+/// another one: from afar it would arrive behind that, and two attempts would be out at once.
+const SETTLES: Duration = Duration::from_millis(10);
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
 const LINGER: Duration = Duration::from_millis(1_000);
 /// Memory that is kept out of the reckoning of answers, and what one answer may take of the rest: an object
@@ -169,10 +172,14 @@
     ) -> Final {
         let id = request.id;
         let mut verdict = self.broker().pick(self.clock.now(), request, mailbox.clone());
+        let mut settles = false;
         loop {
             let mut out = None;
             match verdict.take() {
                 Some(Verdict::Attempt(order)) => {
+                    if std::mem::take(&mut settles) {
+                        may::coroutine::sleep(SETTLES);
+                    }
                     let ticket = match work {
                         Work::Pull(pull) => self.stores.pull(&order, pull, mailbox.clone()),
                         Work::Check => self.stores.echo(&order, mailbox.clone()),
@@ -187,13 +194,14 @@
                 match notes.recv() {
                     // A timer decided: the attempt that is still out is given up before another goes out.
                     Ok(Note::Verdict(next)) => {
-                        out.take().into_iter().for_each(|(_, ticket)| ticket.kill(true));
+                        settles = out.take().is_some_and(|(_, ticket)| ticket.kill(true));
                         verdict = Some(next);
                     }
                     Ok(Note::Reply { attempt, reply }) => {
                         let Some((order, _)) = out.take_if(|(order, _)| order.attempt == attempt) else {
                             continue;
                         };
+                        settles = reply.end == End::Reset;
                         match self.ended(&order, work, &reply) {
                             Next::Done if reply.end == End::Yes => return Final::Checked(order),
                             Next::Done => return Final::Served(reply),
@@ -203,7 +211,7 @@
                     }
                     Ok(Note::Look) if client.is_none_or(still_there) => {}
                     Ok(Note::Look) | Err(_) => {
-                        out.take().into_iter().for_each(|(_, ticket)| ticket.kill(false));
+                        out.take().map(|(_, ticket)| ticket.kill(false));
                         self.broker().abandon(self.clock.now(), id);
                         return Final::Gone;
                     }
@@ -268,8 +276,8 @@
         let told = names.connections;
         let limits = Limits {
             streams: told.streams,
-            // Each connection to a store takes two descriptors, one for each way.
-            connections: sockets / 8,
+            // Next to two fifths for clients; the rest is for the bus, the worker and clients being turned away.
+            connections: sockets / 3,
             connect: Duration::from_micros(told.timeout),
             // Well before the store closes it: a request must not cross with that.
             idle: Duration::from_micros(told.keepalive) * 2 / 3,
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -3,12 +3,18 @@
 //! Each connection has a writer coroutine, which connects and then takes what is queued, and a reader,
 //! which hands every answer to the request that waits for it. An attempt ends by proof: one of which no
 //! byte was written never ran; one that was written and got no answer may have.
+//!
+//! One answer that can't be read, stops short or never comes makes a connection useless to all that is open
+//! on it. So each attempt has a connection to itself as long as there are descriptors, and only then do they
+//! share.
 
 use super::lock;
 use crate::broker::Order;
 use crate::interface::*;
+use may::io::WaitIo;
 use may::net::TcpStream;
 use may::sync::mpsc;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
@@ -18,13 +24,17 @@
 /// The longest line of an answer, and the largest object.
 const LONGEST_LINE: usize = 2_048;
 const LARGEST: usize = 240_000;
-/// Withdrawn ids of which an answer may still be under way.
-const KILLED_KEPT: usize = 256;
+/// Ended ids of which an answer may still be under way.
+const ENDED_KEPT: usize = 256;
 /// A store that takes no bytes for this long has its connection closed.
 const WRITE_STUCK: Duration = Duration::from_secs(2);
 /// Connections to one store, those included that take nothing new and wait for their last answers.
 const PER_STORE: usize = 32;
-const PIECE: usize = 32 * 1024;
+const PIECE: usize = 16 * 1024;
+/// Answers come whole: one whose bytes stop for this long will not be finished.
+const STALLED: Duration = Duration::from_millis(300);
+/// How often a writer looks for room in a connection's buffer.
+const ROOM: Duration = Duration::from_millis(2);
 
 /// How an attempt or a check ended, as far as the wire tells.
 #[derive(Clone, Debug, PartialEq)]
@@ -94,6 +104,27 @@
     length: usize,
 }
 
+/// What the bytes of an attempt ask for: an answer of another kind proves nothing of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asks {
+    Pull {
+        /// The store was told of a copy that the client has.
+        have: bool,
+    },
+    Echo,
+}
+
+impl Asks {
+    /// An answer that was not asked for ends the attempt as one that may have run.
+    fn end(self, end: End) -> End {
+        match (self, &end) {
+            (Asks::Pull { have: true }, End::Current) | (Asks::Echo, End::Yes | End::No) => end,
+            (Asks::Pull { .. }, End::Current | End::Yes | End::No) | (Asks::Echo, _) => End::Error,
+            _ => end,
+        }
+    }
+}
+
 const NOTES: [(&str, Detail); 10] = [
     ("TCP_HIT", Detail::Hit),
     ("TCP_MISS", Detail::Filled),
@@ -162,6 +193,11 @@
 }
 
 impl Answers {
+    /// Whether an answer has begun and is not whole.
+    fn midway(&self) -> bool {
+        self.open.is_some() || !self.line.is_empty()
+    }
+
     fn take(&mut self, mut bytes: &[u8], done: &mut Vec<(u64, Reply)>) -> Result<(), String> {
         while !bytes.is_empty() {
             if let Some((head, body)) = &mut self.open {
@@ -249,18 +285,30 @@
     attempt: u32,
     to: A,
     written: bool,
-    /// A check: there is nothing to give up at the store.
-    echo: bool,
+    asks: Asks,
 }
 
 struct ConnState<A> {
     pending: HashMap<u64, Pending<A>>,
-    /// Ids given up here: an old answer may still come, so the same id goes by another connection.
-    killed: VecDeque<u64>,
+    /// Ids given up or answered here: an old answer or an extra copy may still come, so a further attempt
+    /// under the same id goes by another connection.
+    ended: VecDeque<u64>,
     /// Takes nothing new.
     retired: bool,
     used: Instant,
     heard: Instant,
+    midway: bool,
+    /// Its socket, once it is up. Reader and writer share the one descriptor.
+    stream: Option<Arc<TcpStream>>,
+}
+
+impl<A> ConnState<A> {
+    fn end(&mut self, id: u64) {
+        if self.ended.len() >= ENDED_KEPT {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(id);
+    }
 }
 
 struct Conn<A> {
@@ -283,10 +331,11 @@
     }
 
     fn deliver(&self, id: u64, reply: Reply) {
-        let pending = lock(&self.state).pending.remove(&id);
-        if let Some(pending) = pending {
-            pending.to.reply(pending.attempt, reply);
-        }
+        let mut state = lock(&self.state);
+        let Some(pending) = state.pending.remove(&id) else { return };
+        state.end(id);
+        drop(state);
+        pending.to.reply(pending.attempt, Reply { end: pending.asks.end(reply.end), ..reply });
     }
 }
 
@@ -322,26 +371,25 @@
 }
 
 impl<A: Answered> Ticket<A> {
-    /// Gives the attempt up. `silent`: it was waited for in vain; a connection that has said nothing since
-    /// may lead to a machine that is gone, so new requests open another one.
-    pub fn kill(self, silent: bool) {
-        let Some(conn) = self.conn else { return };
+    /// Gives the attempt up, and says whether it had been sent. `silent`: it was waited for in vain; a
+    /// connection that has said nothing since may lead to a machine that is gone, so new requests open
+    /// another one.
+    pub fn kill(self, silent: bool) -> bool {
+        let Some(conn) = self.conn else { return false };
         let mut state = lock(&conn.state);
-        let Some(pending) = state.pending.remove(&self.id) else { return };
+        let Some(pending) = state.pending.remove(&self.id) else { return false };
         if silent && pending.written && state.heard < self.sent {
             state.retired = true;
         }
         if pending.written {
             // A late answer to a check under this id must not pass for the next one's either.
-            if state.killed.len() >= KILLED_KEPT {
-                state.killed.pop_front();
-            }
-            state.killed.push_back(self.id);
+            state.end(self.id);
             drop(state);
-            if !pending.echo {
+            if pending.asks != Asks::Echo {
                 let _ = conn.queue.send(Out::Kill(self.id));
             }
         }
+        pending.written
     }
 }
 
@@ -374,15 +422,15 @@
     /// Sends an attempt.
     pub fn pull(self: &Arc<Self>, order: &Order, pull: &Pull, to: A) -> Ticket<A> {
         let names = |id: MemberId| lock(&self.table).get(&id).map(|store| store.name.clone());
-        self.send(order, pull.bytes(order, names), false, to)
+        self.send(order, pull.bytes(order, names), Asks::Pull { have: pull.have.is_some() }, to)
     }
 
     /// Sends a check.
     pub fn echo(self: &Arc<Self>, order: &Order, to: A) -> Ticket<A> {
-        self.send(order, format!("ECHO {:016x}\r\n", order.request.0).into_bytes(), true, to)
+        self.send(order, format!("ECHO {:016x}\r\n", order.request.0).into_bytes(), Asks::Echo, to)
     }
 
-    fn send(self: &Arc<Self>, order: &Order, bytes: Vec<u8>, echo: bool, to: A) -> Ticket<A> {
+    fn send(self: &Arc<Self>, order: &Order, bytes: Vec<u8>, asks: Asks, to: A) -> Ticket<A> {
         let id = order.request.0;
         let sent = Instant::now();
         let Some(conn) = self.connection(order.member, id) else {
@@ -392,40 +440,49 @@
         {
             let mut state = lock(&conn.state);
             state.used = sent;
-            state.pending.insert(id, Pending { attempt: order.attempt, to, written: false, echo });
+            state.pending.insert(id, Pending { attempt: order.attempt, to, written: false, asks });
         }
         let _ = conn.queue.send(Out::Send { id, order: order.clone(), bytes });
         Ticket { conn: Some(conn), id, sent }
     }
 
-    /// A connection with room, opened if there is none.
+    /// A connection with nothing open; where there is none a new one, and without descriptors for that the
+    /// one with the least open.
     fn connection(self: &Arc<Self>, member: MemberId, id: u64) -> Option<Arc<Conn<A>>> {
         let mut table = lock(&self.table);
         let total: usize = table.values().map(|store| store.conns.len()).sum();
         let store = table.get_mut(&member)?;
-        let fits = |conn: &&Arc<Conn<A>>| {
+        let open = |conn: &&Arc<Conn<A>>| {
             let state = lock(&conn.state);
-            !state.retired
+            let fits = !state.retired
                 && state.pending.len() < self.limits.streams
                 && !state.pending.contains_key(&id)
-                && !state.killed.contains(&id)
+                && !state.ended.contains(&id);
+            // Of those with nothing open the last used, so that what is not needed comes to its idle end.
+            fits.then_some((state.pending.len(), Reverse(state.used)))
         };
-        if let Some(conn) = store.conns.iter().find(fits) {
-            return Some(conn.clone());
-        }
+        let best = store.conns.iter().filter_map(|conn| Some((open(&conn)?, conn)));
+        let best = best.min_by_key(|(open, _)| *open).map(|((open, _), conn)| (open, conn.clone()));
         // Descriptors are bounded, and one store that is silent must not take the others' share.
-        if total >= self.limits.connections || store.conns.len() >= PER_STORE.min(self.limits.connections) {
-            return None;
+        let room = total < self.limits.connections
+            && store.conns.len() < PER_STORE.min(self.limits.connections)
+            && store.at.is_some();
+        match best {
+            Some((open, conn)) if open == 0 || !room => return Some(conn),
+            _ if !room => return None,
+            _ => {}
         }
         let at = store.at?;
         let (queue, work) = mpsc::channel();
         let now = Instant::now();
         let state = ConnState {
             pending: HashMap::new(),
-            killed: VecDeque::new(),
+            ended: VecDeque::new(),
             retired: false,
             used: now,
             heard: now,
+            midway: false,
+            stream: None,
         };
         let conn = Arc::new(Conn { queue, state: Mutex::new(state) });
         store.conns.push(conn.clone());
@@ -441,30 +498,32 @@
 
     /// A connection's writer, from its opening to its end.
     fn run(&self, conn: &Arc<Conn<A>>, at: SocketAddr, work: &mpsc::Receiver<Out>) {
-        let open = || -> io::Result<(TcpStream, TcpStream)> {
+        let open = || -> io::Result<Arc<TcpStream>> {
             let stream = TcpStream::connect_timeout(&at, self.limits.connect)?;
             stream.set_nodelay(true)?;
-            stream.set_write_timeout(Some(WRITE_STUCK))?;
-            Ok((stream.try_clone()?, stream))
+            Ok(Arc::new(stream))
         };
-        let (reader, mut writer) = match open() {
-            Ok(both) => both,
+        let stream = match open() {
+            Ok(stream) => stream,
             Err(e) => {
                 log::debug!("store {at}: {e}");
                 return conn.fail_all(&End::Unreachable);
             }
         };
-        lock(&conn.state).heard = Instant::now();
-        let ours = conn.clone();
+        {
+            let mut state = lock(&conn.state);
+            (state.heard, state.stream) = (Instant::now(), Some(stream.clone()));
+        }
+        let (ours, reader) = (conn.clone(), stream.clone());
         super::spawn(move || {
-            let mut reader = reader;
-            if let Err(e) = read_answers(&ours, &mut reader) {
+            if let Err(e) = read_answers(&ours, &reader) {
                 log::debug!("store {at}: {e}");
             }
-            // A reset by a dying process, or a bad line: nothing more comes here. What had not been written is
-            // no sign that the store can't be reached: it goes by another connection.
-            ours.fail_all(&End::NotSent);
+            // A reset by a dying process, or a bad line: nothing more comes here. Closed first, as what is open
+            // goes out again by other ways at once. What had not been written is no sign that the store can't
+            // be reached.
             let _ = reader.shutdown(Shutdown::Both);
+            ours.fail_all(&End::NotSent);
             let _ = ours.queue.send(Out::Close);
         });
         while let Ok(out) = work.recv() {
@@ -490,16 +549,18 @@
                     }
                 }
             };
-            if let Err(e) = writer.write_all(&bytes) {
+            if let Err(e) = write_out(&stream, &bytes) {
                 log::debug!("store {at}: {e}");
                 break;
             }
         }
+        let _ = stream.shutdown(Shutdown::Both);
         conn.fail_all(&End::NotSent);
-        let _ = writer.shutdown(Shutdown::Both);
+        lock(&conn.state).stream = None;
     }
 
-    /// Closes connections that are idle for long, or that take nothing new and have nothing open.
+    /// Closes connections that are idle for long, that take nothing new and have nothing open, or whose answer
+    /// under way has stopped short.
     pub fn sweep(&self) {
         let now = Instant::now();
         let mut close = Vec::new();
@@ -512,6 +573,9 @@
                     if over && state.pending.is_empty() {
                         state.retired = true;
                         close.push(conn.clone());
+                    } else if state.midway && now - state.heard > STALLED {
+                        // The reader wakes up and ends all that is open there.
+                        let _ = state.stream.as_ref().map(|stream| stream.shutdown(Shutdown::Both));
                     }
                 }
             }
@@ -523,15 +587,24 @@
     }
 }
 
-fn read_answers<A: Answered>(conn: &Conn<A>, stream: &mut TcpStream) -> io::Result<()> {
+fn read_answers<A: Answered>(conn: &Conn<A>, stream: &TcpStream) -> io::Result<()> {
     let (mut piece, mut answers, mut done) = (vec![0; PIECE], Answers::default(), Vec::new());
     loop {
-        let read = stream.read(&mut piece)?;
-        if read == 0 {
-            return Ok(());
-        }
-        lock(&conn.state).heard = Instant::now();
+        let read = match stream.inner().read(&mut piece) {
+            Ok(0) => return Ok(()),
+            Ok(read) => read,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                stream.wait_io();
+                continue;
+            }
+            Err(e) => return Err(e),
+        };
         let bad = answers.take(&piece[..read], &mut done);
+        {
+            let mut state = lock(&conn.state);
+            (state.heard, state.midway) = (Instant::now(), answers.midway());
+        }
         for (id, reply) in done.drain(..) {
             conn.deliver(id, reply);
         }
@@ -539,6 +612,24 @@
     }
 }
 
+/// Writes all, beside the reader that waits for the same socket's events: a full buffer, which is rare, is
+/// looked at again and again.
+fn write_out(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    let since = Instant::now();
+    while !bytes.is_empty() {
+        match stream.inner().write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock && since.elapsed() < WRITE_STUCK => {
+                may::coroutine::sleep(ROOM);
+            }
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -78,6 +78,75 @@
     assert_eq!((got.status, got.body.as_slice()), (200, &b"whole"[..]));
 }
 
+/// An answer that stops short is not waited for until its attempt's time is over.
+#[test]
+fn an_answer_that_stops_short_costs_little_time() {
+    let (bus, asked) = (Bus::default(), AtomicUsize::new(0));
+    let origin = Store::new(9, move |_, _| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => Do::Raw(b"0000000000000001 ok - 9\r\nabc".to_vec()),
+        _ => ok(b"whole"),
+    });
+    let gateway = gateway(&bus, &[origin.origin()]);
+    let got = ask_text(gateway.listen, &request("submit/form1", 1, 3_000, "Req-Token: t\r\n")).unwrap();
+    assert_eq!((got.status, origin.pulls()), (200, 2));
+    assert!((250..1_200).contains(&got.took.as_millis()), "{:?}", got.took);
+}
+
+/// What one spoilt answer does to its connection costs no other request an attempt.
+#[test]
+fn a_spoilt_answer_is_not_the_others_loss() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |line, _| {
+        if line.contains("obj=bad") {
+            return Do::Break(b"\xff\xfe noise\r\n".to_vec());
+        }
+        std::thread::sleep(Duration::from_millis(150));
+        ok(b"x")
+    });
+    let gateway = gateway(&bus, &[cache.cache()]);
+    let slow: Vec<TcpStream> =
+        (1..=5).map(|id| send(gateway.listen, &request(&format!("video/o{id}"), id, 1_500, ""))).collect();
+    wait_for("the attempts", || cache.pulls() == 5);
+    ask(gateway.listen, "video/bad", 6);
+    assert!(slow.iter().all(|asked| read_answer(asked, Instant::now()).unwrap().status == 200));
+    (1..=5).for_each(|id| {
+        assert_eq!(
+            cache.lines("PULL").iter().filter(|line| line.contains(&format!("obj=o{id},"))).count(),
+            1
+        );
+    });
+}
+
+/// An answer of a kind that was not asked for, to a request that runs once: it may have run, so it fails. What
+/// comes besides the answer, under an unknown id or a second time, changes nothing.
+#[rstest]
+#[case::current("0000000000000001 current etag=e1 0\r\n\r\n", 502)]
+#[case::no("0000000000000001 no - 0\r\n\r\n", 502)]
+#[case::stranger_first("00000000000000ff ok - 1\r\ny\r\n0000000000000001 ok - 1\r\nx\r\n", 200)]
+#[case::copy("0000000000000001 ok - 1\r\nx\r\n0000000000000001 ok - 1\r\ny\r\n", 200)]
+fn only_what_was_asked_for_ends_a_request(#[case] bytes: &'static str, #[case] status: u16) {
+    let bus = Bus::default();
+    let origin = Store::new(9, move |_, _| Do::Raw(bytes.into()));
+    let gateway = gateway(&bus, &[origin.origin()]);
+    let got = ask(gateway.listen, "once/form1", 1);
+    assert_eq!((got.status, got.status != 200 || got.body == b"x"), (status, true));
+    assert_eq!(origin.pulls(), 1);
+}
+
+/// The second `nothing` must not end the further attempt under the same id.
+#[test]
+fn a_copy_of_an_answer_does_not_end_the_next_attempt() {
+    let (bus, asked) = (Bus::default(), AtomicUsize::new(0));
+    let nothing = "0000000000000001 refused - 0\r\n\r\n".repeat(2);
+    let origin = Store::new(9, move |_, _| match asked.fetch_add(1, Ordering::SeqCst) {
+        0 => Do::Raw(nothing.clone().into()),
+        _ => ok(b"x"),
+    });
+    let gateway = gateway(&bus, &[origin.origin()]);
+    let got = ask(gateway.listen, "once/form1", 1);
+    assert_eq!((got.status, origin.pulls(), origin.connections()), (200, 2, 2));
+}
+
 #[rstest]
 #[case::reset(|| Do::Break(Vec::new()), 502, 1)]
 #[case::error(|| Do::Answer("error", "-", Vec::new()), 502, 1)]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -17,6 +17,8 @@
     Answer(&'static str, &'static str, Vec<u8>),
     /// The bytes as they are, then the connection closes.
     Break(Vec<u8>),
+    /// The bytes as they are, and the connection stays open.
+    Raw(Vec<u8>),
     Nothing,
 }
 
@@ -111,6 +113,9 @@
                 let _ = stream.shutdown(std::net::Shutdown::Both);
                 return;
             }
+            Do::Raw(bytes) => {
+                let _ = writer.write_all(&bytes);
+            }
             Do::Nothing => {}
         }
     }
