Bound clients by what they do: ends in 3 s, idle ones make way, strict figures, drained ends

Read in http.rs: an answer was followed at once by a close with unread input; a second Content-Length won over the first, '+5' and exponents were numbers, groups over 255 and GET with a body went on to stores.

Now the table knows what each connection is at: 2.4 s for a first request, 5 s idle, 2 s to drain after a half-close; a full table closes who said nothing, then who has been idle longest, and refuses only where all have a request open, told in a bounded lobby. Repeated fields, signs, exponents and ranges are 400; PUT is for classes that write; an id that has just been answered is 409. Answers are written without a copy.

Tests: a full table, bad input told in time, silence closed in time, ids taken once.

--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -316,7 +316,9 @@
         let raft = raft.transpose()?;
         let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
         let serving = shared.clone();
-        super::spawn(move || http::listen(&serving, &listener, most));
+        let clients = Arc::new(http::Clients::new(most, (sockets / 16).max(2)));
+        let seated = clients.clone();
+        super::spawn(move || http::listen(&serving, &listener, &clients));
         bus::follow(&shared, bus);
         let timed = shared.clone();
         super::spawn(move || {
@@ -328,6 +330,7 @@
                 }
                 if round.is_multiple_of(SWEEP_EVERY) {
                     timed.stores.sweep();
+                    seated.sweep();
                 }
             }
         });
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,27 +1,48 @@
 //! Clients: HTTP/1.1 in, one request at a time on a connection, and answers out.
 
 use super::gateway::{Final, Shared, Work};
+use super::lock;
 use super::store::{End, Pull, Reply};
 use crate::interface::{Effect, Micros, Request, RequestId};
+use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::io::{self, Read, Write};
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
+use std::net::Shutdown;
+use std::str::FromStr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// The largest head, its most fields, and the largest body.
 const LARGEST_HEAD: usize = 8 * 1024;
 const MOST_FIELDS: usize = 64;
 const LARGEST_BODY: usize = 48_000;
-const LONGEST_NAME: usize = 256;
-/// The longest wait that a client may state.
+const LONGEST_NAME: usize = 128;
+/// The longest wait that a client may state, the largest part in KB, and the last group.
 const LONGEST_WAIT_MS: f64 = 600_000.0;
-/// A connection with no byte for this long is closed, and one that takes none.
-const IDLE: Duration = Duration::from_secs(20);
-const WRITE_STUCK: Duration = Duration::from_secs(10);
-/// A request must be whole this long after its first byte, however its bytes drip in.
-const SLOWEST: Duration = Duration::from_secs(30);
+const LARGEST_KB: f64 = 1e6;
+const LAST_GROUP: u64 = 255;
+/// A first request must be whole this long after its connection came, and a later one this long after its
+/// first byte, however its bytes drip in. Those who never get there are owed an end within 3 s.
+const SLOWEST: Duration = Duration::from_millis(2_400);
+/// Usual clients close after 4 s without a request. Others ask once and hold their connection for good.
+const IDLE: Duration = Duration::from_secs(5);
+/// A client that takes no answer for this long is closed.
+const WRITE_STUCK: Duration = Duration::from_secs(5);
+/// What still comes from a client after its last answer is read and dropped: closed with unread input, the
+/// connection would be reset, and that can destroy the answer. Within these bounds.
+const DRAIN: Duration = Duration::from_secs(2);
+const MOST_DRAINED: usize = 80_000_000;
+/// A client that sends at full speed is left for a moment after so many reads: others want the worker too.
+const READS_AT_ONCE: usize = 16;
+const MOMENT: Duration = Duration::from_millis(1);
+/// Usual clients send as soon as they are connected: one that has not after this goes first when the table
+/// is full.
+const SILENT: Duration = Duration::from_millis(100);
 const NO_DESCRIPTORS: Duration = Duration::from_millis(10);
+/// Ids of answered requests that are remembered: a repeat of one is no new request.
+const ANSWERED_KEPT: usize = 4_096;
 /// Advice to a refused client where the module gives none, in microseconds. The field holds whole seconds.
 const BACKOFF: Micros = 1_000_000;
 
@@ -43,6 +64,8 @@
     group: Option<u64>,
     size_kb: f64,
     part: u32,
+    /// It came as PUT.
+    write: bool,
     pull: Pull,
 }
 
@@ -64,9 +87,10 @@
     },
 }
 
-/// Words that go on as they are, between commas and blanks of the line protocol.
+/// Words that go on as they are, between the commas, blanks and equals signs of the line protocol: a store
+/// closes on a line that it can't read, whatever else is open there.
 fn plain(text: &str) -> bool {
-    let usable = |byte: u8| byte.is_ascii_graphic() && byte != b',';
+    let usable = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~:@%!*'()/".contains(&byte);
     !text.is_empty() && text.len() <= LONGEST_NAME && text.bytes().all(usable)
 }
 
@@ -78,17 +102,24 @@
     let (Some(class), Some(object)) = (words.next(), words.next()) else { return Err(BAD) };
     let part = match words.next() {
         None => None,
-        Some(word) => Some(word.strip_prefix("block-").and_then(|n| n.parse().ok()).ok_or(BAD)?),
+        Some(word) => Some(word.strip_prefix("block-").and_then(whole).ok_or(BAD)?),
     };
-    // '=' would end a field's name only, yet commas and blanks would make other fields of the rest.
     if words.next().is_some() || !plain(class) || !plain(object) {
         return Err(BAD);
     }
     Ok((class, object, part))
 }
 
+/// A whole number in digits alone: the parsers of the library take signs as well.
+fn whole<T: FromStr>(text: &str) -> Option<T> {
+    text.bytes().all(|byte| byte.is_ascii_digit()).then(|| text.parse().ok()).flatten()
+}
+
+/// A number in digits, with a fraction or without: no signs, exponents or names.
 fn number(text: &str, most: f64) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|value| value.is_finite() && (0.0..=most).contains(value))
+    let digits = text.bytes().all(|byte| byte.is_ascii_digit() || byte == b'.');
+    let value = text.parse::<f64>().ok().filter(|_| digits && text.starts_with(|c: char| c.is_ascii_digit()));
+    value.filter(|value| (0.0..=most).contains(value))
 }
 
 /// The one tag that `If-None-Match` names; a list, or `*`, is not passed on.
@@ -97,6 +128,18 @@
     (plain(bare) && !bare.contains('"')).then(|| bare.into())
 }
 
+/// Fields that may stand once.
+const OURS: [&str; 8] = [
+    "content-length",
+    "transfer-encoding",
+    "req-id",
+    "req-wait-ms",
+    "req-token",
+    "x-family",
+    "req-kb",
+    "if-none-match",
+];
+
 /// Reads a request off the front of a buffer.
 fn parse(buffer: &[u8]) -> Result<Parsed, Bad> {
     let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
@@ -110,16 +153,23 @@
         Err(_) => return Err(Bad(400, "not an HTTP request")),
     };
     let mut keep_alive = request.version == Some(1);
-    let (mut length, mut expects) = (0, false);
+    let (mut length, mut expects, mut chunked) = (0, false, false);
     let (mut id, mut wait, mut object) = (None, None, Object::default());
+    let mut seen: Vec<String> = Vec::new();
     for field in request.headers.iter() {
         let name = field.name.to_ascii_lowercase();
+        // Of two values either could be the one that was meant, or the one that another on the way goes by.
+        if seen.contains(&name) && OURS.contains(&name.as_str()) {
+            return Err(Bad(400, "a field is repeated"));
+        }
         let text = std::str::from_utf8(field.value).map_err(|_| Bad(400, "a field is not text"))?.trim();
         match name.as_str() {
             "content-length" => {
-                length = text.parse::<usize>().map_err(|_| Bad(400, "Content-Length"))?;
+                // Longer ones than a machine can count are numbers all the same, and too large.
+                let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+                length = whole(text).or(digits.then_some(usize::MAX)).ok_or(Bad(400, "Content-Length"))?;
             }
-            "transfer-encoding" => return Err(Bad(411, "a body needs Content-Length")),
+            "transfer-encoding" => chunked = true,
             "connection" => keep_alive &= !text.to_ascii_lowercase().contains("close"),
             "expect" => expects = text.eq_ignore_ascii_case("100-continue"),
             "req-id" => {
@@ -135,11 +185,21 @@
                 let token = Some(text).filter(|text| plain(text)).ok_or(Bad(400, "Req-Token"))?;
                 object.pull.token = Some(token.into());
             }
-            "x-family" => object.group = Some(text.parse().map_err(|_| Bad(400, "X-Family"))?),
-            "req-kb" => object.size_kb = number(text, 1e9).ok_or(Bad(400, "Req-Kb"))?,
+            "x-family" => {
+                let group = whole(text).filter(|group| *group <= LAST_GROUP);
+                object.group = Some(group.ok_or(Bad(400, "X-Family"))?);
+            }
+            "req-kb" => object.size_kb = number(text, LARGEST_KB).ok_or(Bad(400, "Req-Kb"))?,
             "if-none-match" => object.pull.have = tag(text),
             _ => {}
         }
+        seen.push(name);
+    }
+    // With both, another on the way could take a part of the body for a request of its own.
+    match (chunked, seen.iter().any(|name| name == "content-length")) {
+        (true, true) => return Err(Bad(400, "Content-Length and Transfer-Encoding")),
+        (true, false) => return Err(Bad(411, "a body needs Content-Length")),
+        _ => {}
     }
     if length > LARGEST_BODY {
         return Err(Bad(413, "the body is too large"));
@@ -152,9 +212,12 @@
     if path == "/status/live" {
         return Ok(Parsed::Whole(Taken { asked: Asked::Live, keep_alive, used }));
     }
-    if !matches!(request.method, Some("GET" | "PUT")) {
-        return Err(Bad(405, "the method is not GET or PUT"));
-    }
+    object.write = match request.method {
+        Some("GET") if length > 0 => return Err(Bad(400, "a GET with a body")),
+        Some("GET") => false,
+        Some("PUT") => true,
+        _ => return Err(Bad(405, "the method is not GET or PUT")),
+    };
     let (class, name, part) = target(path)?;
     object.id = id.ok_or(Bad(400, "Req-Id is missing"))?;
     object.wait = wait.ok_or(Bad(400, "Req-Wait-Ms is missing"))?;
@@ -174,6 +237,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         411 => "Length Required",
         413 => "Content Too Large",
         431 => "Request Header Fields Too Large",
@@ -182,8 +246,13 @@
     }
 }
 
-/// A whole answer as bytes.
-fn answer(status: u16, extra: &str, body: &[u8], close: bool) -> Vec<u8> {
+/// An answer: its head, and its bytes, which are not copied.
+struct Answer {
+    head: String,
+    body: Vec<u8>,
+}
+
+fn answer(status: u16, extra: &str, body: Vec<u8>, close: bool) -> Answer {
     let mut head = format!("HTTP/1.1 {status} {}\r\n{extra}", reason(status));
     if status != 304 {
         head += &format!("Content-Length: {}\r\n", body.len());
@@ -192,28 +261,213 @@
         head += "Connection: close\r\n";
     }
     head += "\r\n";
-    [head.as_bytes(), body].concat()
+    Answer { head, body }
 }
 
-fn refusal(backoff: Option<Micros>, close: bool) -> Vec<u8> {
+fn refusal(backoff: Option<Micros>, close: bool) -> Answer {
     let seconds = backoff.unwrap_or(BACKOFF).div_ceil(1_000_000).max(1);
-    answer(503, &format!("Retry-After: {seconds}\r\n"), b"", close)
+    answer(503, &format!("Retry-After: {seconds}\r\n"), Vec::new(), close)
 }
 
-fn served(reply: Reply, close: bool) -> Vec<u8> {
+fn served(reply: Reply, close: bool) -> Answer {
     let tag = reply.etag.map_or(String::new(), |tag| format!("ETag: \"{tag}\"\r\n"));
     match reply.end {
-        End::Ok(body) => answer(200, &tag, &body, close),
-        _ => answer(304, &tag, b"", close),
+        End::Ok(body) => answer(200, &tag, body, close),
+        _ => answer(304, &tag, Vec::new(), close),
+    }
+}
+
+/// What a connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum At {
+    /// No request has been whole yet on it, or one has begun.
+    Asking,
+    /// A request is open.
+    Open,
+    Writing,
+    Idle,
+    /// Its last answer is written.
+    Draining,
+}
+
+impl At {
+    fn longest(self) -> Option<Duration> {
+        match self {
+            At::Asking => Some(SLOWEST),
+            At::Open => None,
+            At::Writing => Some(WRITE_STUCK),
+            At::Idle => Some(IDLE),
+            At::Draining => Some(DRAIN),
+        }
+    }
+}
+
+struct Seat {
+    stream: Arc<TcpStream>,
+    at: At,
+    since: Instant,
+}
+
+/// The clients that are connected. A full table makes room by closing who has been idle longest; only where
+/// all have a request open is a new one refused.
+pub struct Clients {
+    seats: Mutex<BTreeMap<u64, Seat>>,
+    next: AtomicU64,
+    most: usize,
+    /// Clients that are told of the full table.
+    lobby: Arc<AtomicUsize>,
+    lobby_most: usize,
+    answered: Mutex<(HashSet<u64>, VecDeque<u64>)>,
+}
+
+/// A client's place in the table, until it is dropped.
+struct Sitting<'a> {
+    clients: &'a Clients,
+    number: u64,
+    stream: Arc<TcpStream>,
+}
+
+impl Drop for Sitting<'_> {
+    fn drop(&mut self) {
+        lock(&self.clients.seats).remove(&self.number);
+    }
+}
+
+impl Sitting<'_> {
+    fn is_at(&self, at: At) {
+        if let Some(seat) = lock(&self.clients.seats).get_mut(&self.number) {
+            (seat.at, seat.since) = (at, Instant::now());
+        }
+    }
+
+    /// Writes an answer. A client that takes none of it for long is closed by [`Clients::sweep`].
+    fn write(&self, answer: &Answer) -> io::Result<()> {
+        self.is_at(At::Writing);
+        for mut bytes in [answer.head.as_bytes(), &answer.body] {
+            while !bytes.is_empty() {
+                match self.stream.inner().write(bytes) {
+                    Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                    Ok(written) => bytes = &bytes[written..],
+                    Err(e) => self.wait(e)?,
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// 0: the client has closed, or its time is over.
+    fn read(&self, piece: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.stream.inner().read(piece) {
+                Ok(read) => return Ok(read),
+                Err(e) => self.wait(e)?,
+            }
+        }
+    }
+
+    fn wait(&self, error: io::Error) -> io::Result<()> {
+        match error.kind() {
+            io::ErrorKind::WouldBlock => {
+                self.stream.wait_io();
+                Ok(())
+            }
+            io::ErrorKind::Interrupted => Ok(()),
+            _ => Err(error),
+        }
+    }
+
+    /// Ends the connection after its last answer, so that the client can read that.
+    fn end(&self, piece: &mut [u8]) -> io::Result<()> {
+        self.is_at(At::Draining);
+        self.stream.shutdown(Shutdown::Write)?;
+        let (mut drained, mut reads) = (0, 0);
+        while drained < MOST_DRAINED {
+            let read = self.read(piece)?;
+            if read == 0 {
+                break;
+            }
+            (drained, reads) = (drained + read, reads + 1);
+            if reads % READS_AT_ONCE == 0 {
+                may::coroutine::sleep(MOMENT);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Clients {
+    /// `most` may be connected, and a few more are told that the table is full.
+    pub fn new(most: usize, lobby_most: usize) -> Clients {
+        Clients {
+            seats: Mutex::default(),
+            next: AtomicU64::new(0),
+            most,
+            lobby: Arc::default(),
+            lobby_most,
+            answered: Mutex::default(),
+        }
+    }
+
+    fn sit(&self, stream: Arc<TcpStream>, at: At) -> Sitting<'_> {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let seat = Seat { stream: stream.clone(), at, since: Instant::now() };
+        lock(&self.seats).insert(number, seat);
+        Sitting { clients: self, number, stream }
+    }
+
+    /// Room for one more: free already, or made by closing a connection that nobody waits on.
+    fn room(&self) -> bool {
+        let mut seats = lock(&self.seats);
+        if seats.len() < self.most {
+            return true;
+        }
+        let now = Instant::now();
+        let rank = |seat: &Seat| match seat.at {
+            At::Draining if now - seat.since > SILENT => Some(0),
+            At::Asking if now - seat.since > SILENT => Some(1),
+            At::Idle => Some(2),
+            _ => None,
+        };
+        let first = seats.iter().filter_map(|(number, seat)| Some((rank(seat)?, seat.since, *number))).min();
+        // Taken out at once: its coroutine wakes up to find its connection over.
+        let closed = first.and_then(|(.., number)| seats.remove(&number));
+        closed.is_some_and(|seat| seat.stream.shutdown(Shutdown::Both).is_ok())
+    }
+
+    /// Ends what has lasted too long.
+    pub fn sweep(&self) {
+        let now = Instant::now();
+        for seat in lock(&self.seats).values() {
+            if seat.at.longest().is_some_and(|longest| now - seat.since > longest) {
+                // Who has sent part of a request is still told so; all others are done with.
+                let way = if seat.at == At::Asking { Shutdown::Read } else { Shutdown::Both };
+                let _ = seat.stream.shutdown(way);
+            }
+        }
+    }
+
+    /// Whether an id belongs to a request that has been answered. Ids are new with every request.
+    fn was_answered(&self, id: u64) -> bool {
+        lock(&self.answered).0.contains(&id)
+    }
+
+    fn answered(&self, id: u64) {
+        let (known, order) = &mut *lock(&self.answered);
+        if known.insert(id) {
+            order.push_back(id);
+        }
+        if order.len() > ANSWERED_KEPT {
+            order.pop_front().map(|old| known.remove(&old));
+        }
     }
 }
 
 /// Accepts clients for ever. A full table refuses, and never dies.
-pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, most: usize) {
-    let held = Arc::new(AtomicUsize::new(0));
+pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, clients: &Arc<Clients>) {
+    let mut told: Option<Instant> = None;
     loop {
-        let mut stream = match listener.accept() {
-            Ok((stream, _)) => stream,
+        let stream = match listener.accept() {
+            Ok((stream, _)) => Arc::new(stream),
             Err(e) => {
                 // No descriptors are left, or a client was gone before it was accepted.
                 log::warn!("accept: {e}");
@@ -221,43 +475,53 @@
                 continue;
             }
         };
-        let Some(place) = super::Place::take(&held, most) else {
-            log::warn!("{most} clients are connected: one more was refused");
-            let _ = stream.write_all(&refusal(None, true));
+        let (shared, table) = (shared.clone(), clients.clone());
+        if clients.room() {
+            super::spawn(move || {
+                if let Err(e) = client(&shared, &table.sit(stream, At::Asking)) {
+                    log::debug!("client: {e}");
+                }
+            });
+            if lock(&clients.seats).len() + 1 >= clients.most {
+                // The one that made way must get to give its descriptor back.
+                may::coroutine::sleep(MOMENT);
+            }
             continue;
-        };
-        let shared = shared.clone();
+        }
+        if told.is_none_or(|told| told.elapsed() > IDLE) {
+            told = Some(Instant::now());
+            log::warn!("{} clients have requests open: more are refused", clients.most);
+        }
+        let Some(place) = super::Place::take(&clients.lobby, clients.lobby_most) else { continue };
         super::spawn(move || {
             let _place = place;
-            if let Err(e) = client(&shared, &mut stream) {
-                log::debug!("client: {e}");
-            }
+            let sitting = table.sit(stream, At::Writing);
+            let _ = sitting.write(&refusal(None, true)).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
         });
     }
 }
 
-fn client(shared: &Arc<Shared>, stream: &mut TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(IDLE))?;
-    stream.set_write_timeout(Some(WRITE_STUCK))?;
+fn client(shared: &Arc<Shared>, sitting: &Sitting) -> io::Result<()> {
+    sitting.stream.set_nodelay(true)?;
     let (mut buffer, mut piece, mut continued) = (Vec::new(), [0; 4 * 1024], false);
-    let mut began = Instant::now();
     loop {
         match parse(&buffer) {
             Ok(Parsed::Partial { expects }) => {
                 if expects && !std::mem::replace(&mut continued, true) {
-                    stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
-                }
-                if !buffer.is_empty() && began.elapsed() > SLOWEST {
-                    stream.write_all(&answer(408, "", b"", true))?;
-                    return Ok(());
+                    let word = Answer { head: "HTTP/1.1 100 Continue\r\n\r\n".into(), body: Vec::new() };
+                    sitting.write(&word)?;
+                    sitting.is_at(At::Asking);
                 }
-                let read = stream.read(&mut piece)?;
+                let read = sitting.read(&mut piece)?;
                 if read == 0 {
+                    if !buffer.is_empty() {
+                        sitting.write(&answer(408, "", Vec::new(), true))?;
+                        sitting.end(&mut piece)?;
+                    }
                     return Ok(());
                 }
                 if buffer.is_empty() {
-                    began = Instant::now();
+                    sitting.is_at(At::Asking);
                 }
                 buffer.extend_from_slice(&piece[..read]);
             }
@@ -266,34 +530,43 @@
                 continued = false;
                 let close = !taken.keep_alive;
                 let _open = shared.taken();
-                let Some(bytes) = respond(shared, stream, taken.asked, close) else { return Ok(()) };
-                stream.write_all(&bytes)?;
+                sitting.is_at(At::Open);
+                let Some(answer) = respond(shared, sitting, taken.asked, close) else { return Ok(()) };
+                sitting.write(&answer)?;
                 if close {
-                    return Ok(());
+                    return sitting.end(&mut piece);
                 }
+                sitting.is_at(if buffer.is_empty() { At::Idle } else { At::Asking });
             }
             Err(Bad(status, cause)) => {
                 log::debug!("client: {cause}");
-                stream.write_all(&answer(status, "", cause.as_bytes(), true))?;
-                return Ok(());
+                sitting.write(&answer(status, "", cause.into(), true))?;
+                return sitting.end(&mut piece);
             }
         }
     }
 }
 
 /// The answer to a request. `None`: the client has left.
-fn respond(shared: &Arc<Shared>, stream: &TcpStream, asked: Asked, close: bool) -> Option<Vec<u8>> {
+fn respond(shared: &Arc<Shared>, sitting: &Sitting, asked: Asked, close: bool) -> Option<Answer> {
     let object = match asked {
-        Asked::Live => return Some(answer(200, "", b"live\n", close)),
+        Asked::Live => return Some(answer(200, "", b"live\n".into(), close)),
         Asked::Object(object) => *object,
     };
     let class = shared.names.classes.get(&object.pull.class).copied();
     let Some(known) = class.and_then(|class| shared.settings.classes.get(class)) else {
-        return Some(answer(404, "", b"no such class\n", close));
+        return Some(answer(404, "", b"no such class\n".into(), close));
     };
+    if object.write != known.uncacheable {
+        return Some(answer(405, "", b"PUT is for classes that write, GET for others\n".into(), close));
+    }
     // Without its key a repeat could not be told from a new request where it runs.
     if matches!(known.effect, Effect::Keyed { .. }) && object.pull.token.is_none() {
-        return Some(answer(400, "", b"Req-Token is missing\n", close));
+        return Some(answer(400, "", b"Req-Token is missing\n".into(), close));
+    }
+    // An id that is open is the broker's to turn away; here it may just have been answered.
+    if sitting.clients.was_answered(object.id) {
+        return Some(answer(409, "", b"Req-Id has been used\n".into(), close));
     }
     let request = Request {
         id: RequestId(object.id),
@@ -305,10 +578,14 @@
         purge_group: object.group,
         by_name: false,
     };
-    Some(match shared.carry(request, &Work::Pull(object.pull), Some(stream)) {
+    let end = shared.carry(request, &Work::Pull(object.pull), Some(&*sitting.stream));
+    if !matches!(end, Final::Gone) {
+        sitting.clients.answered(object.id);
+    }
+    Some(match end {
         Final::Served(reply) => served(reply, close),
         Final::Refused(backoff) => refusal(backoff, close),
-        Final::Failed | Final::Checked(_) => answer(502, "", b"", close),
+        Final::Failed | Final::Checked(_) => answer(502, "", Vec::new(), close),
         Final::Gone => return None,
     })
 }
@@ -344,6 +621,7 @@
             group: Some(17),
             size_kb: 412.5,
             part: 3,
+            write: true,
             pull,
         };
         assert_eq!(taken.asked, Asked::Object(Box::new(object)));
@@ -363,6 +641,21 @@
     #[case::chunked(&(GET.to_string() + "Transfer-Encoding: chunked\r\n"), 411)]
     #[case::large_body(&(GET.to_string() + "Content-Length: 48001\r\n"), 413)]
     #[case::large_head(&(GET.to_string() + "A: " + &"a".repeat(9000)), 431)]
+    #[case::both_lengths(&(GET.to_string() + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400)]
+    #[case::two_lengths(&(GET.to_string() + "Content-Length: 3\r\nContent-Length: 0\r\n"), 400)]
+    #[case::signed_length(&(GET.to_string() + "Content-Length: +5\r\n"), 400)]
+    #[case::negative_length(&(GET.to_string() + "Content-Length: -5\r\n"), 400)]
+    #[case::huge_length(&(GET.to_string() + "Content-Length: 99999999999999999999999\r\n"), 413)]
+    #[case::get_with_a_body(&(GET.to_string() + "Content-Length: 2\r\n\r\n"), 400)]
+    #[case::two_ids(&(GET.to_string() + "Req-Id: 9b1f03aa5c7e2d42\r\n"), 400)]
+    #[case::signed_wait(&GET.replace("1500", "+1500"), 400)]
+    #[case::exponent(&GET.replace("1500", "1e3"), 400)]
+    #[case::signed_part(&GET.replace("block-3", "block-+3"), 404)]
+    #[case::large_part(&GET.replace("block-3", "block-4294967296"), 404)]
+    #[case::no_group(&(GET.to_string() + "X-Family: 256\r\n"), 400)]
+    #[case::signed_group(&(GET.to_string() + "X-Family: +1\r\n"), 400)]
+    #[case::endless_size(&(GET.to_string() + "Req-Kb: 1e300\r\n"), 400)]
+    #[case::an_equals_sign_would_forge_a_value(&GET.replace("7f3a", "7f=1"), 404)]
     #[case::token_with_comma(&(GET.to_string() + "Req-Token: a,b\r\n"), 400)]
     fn bad_requests_are_told_why(#[case] text: &str, #[case] status: u16) {
         let Err(Bad(got, _)) = parse((text.to_string() + "\r\n").as_bytes()) else { panic!("taken") };
@@ -374,7 +667,7 @@
     #[case(Some(200_000), "1")]
     #[case(Some(1_200_000), "2")]
     fn a_refusal_tells_when_to_come_back(#[case] backoff: Option<Micros>, #[case] seconds: &str) {
-        let text = String::from_utf8(refusal(backoff, false)).unwrap();
+        let text = refusal(backoff, false).head;
         assert!(text.starts_with("HTTP/1.1 503 "));
         assert!(text.contains(&format!("Retry-After: {seconds}\r\n")));
     }
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -23,8 +23,7 @@
     assert_eq!((got.status, got.fields["etag"].as_str()), (200, "\"e1\""));
     assert!(got.body == bytes);
     assert!(cache.lines("PULL")[0].starts_with("PULL 00000000000000a1 kind=video,obj=7f3a,seg=3,ms="));
-    let put =
-        request("submit/form1", 2, 1_500, "Req-Token: t1\r\nContent-Length: 5\r\n").replace("GET", "PUT");
+    let put = request("submit/form1", 2, 1_500, "Req-Token: t1\r\nContent-Length: 5\r\n");
     let got = ask_text(gateway.listen, &(put + "a\r\nb\n")).unwrap();
     assert_eq!((got.status, got.body.as_slice()), (200, &b"a\r\nb\n"[..]));
     assert!(origin.lines("PULL")[0].contains("token=t1"));
@@ -252,24 +251,70 @@
     assert!((1..=20).contains(&cold), "{cold}");
 }
 
+/// All places are taken by clients that wait: one more is refused. Those who say nothing make way.
 #[test]
-fn bad_input_gets_400_and_a_full_table_refuses() {
+fn a_full_table_refuses_only_where_all_wait() {
     let bus = Bus::default();
-    let cache = Store::new(1, |_, _| ok(b"x"));
+    let cache = Store::new(1, |line, _| if line.contains("obj=slow") { Do::Nothing } else { ok(b"x") });
     let gateway = gateway_with(&bus, &[cache.cache()], 64, None);
-    assert_eq!(ask_text(gateway.listen, "nonsense\r\n\r\n").unwrap().status, 400);
-    let mut held: Vec<TcpStream> = Vec::new();
-    for _ in 0..64 * 2 / 5 {
-        held.push(TcpStream::connect(gateway.listen).unwrap());
-    }
-    std::thread::sleep(Duration::from_millis(100));
+    let places = 64 * 2 / 5;
+    let silent: Vec<TcpStream> = (0..places).map(|_| TcpStream::connect(gateway.listen).unwrap()).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    let waiting: Vec<TcpStream> = (0..places as u64)
+        .map(|id| send(gateway.listen, &request(&format!("video/slow{id}"), id, 1_500, "")))
+        .collect();
+    wait_for("the attempts", || cache.pulls() == places);
     let full = read_answer(&TcpStream::connect(gateway.listen).unwrap(), Instant::now()).unwrap();
     assert_eq!((full.status, full.fields["retry-after"].as_str()), (503, "1"));
-    held.clear();
-    wait_for("places are free again", || {
-        let text = request(SEGMENT, 1, 1_500, "");
-        ask_text(gateway.listen, &text).is_some_and(|answer| answer.status == 200)
+    assert!(waiting.iter().all(|asked| read_answer(asked, Instant::now()).unwrap().status == 503));
+    assert!(silent.iter().all(|mut stream| stream.read(&mut [0]).is_ok_and(|read| read == 0)));
+    // Clients that were answered and hold their connection make way as well.
+    assert_eq!(ask_text(gateway.listen, "GET /status/live HTTP/1.1\r\n\r\n").unwrap().status, 200);
+}
+
+/// What bad clients are owed within 3 s, told so that they can read it though they are still sending.
+#[rstest]
+#[case::nonsense("nonsense\r\n\r\n".into(), 400)]
+#[case::large_body(request("submit/f", 1, 1_500, "Content-Length: 9000000\r\n") + &"x".repeat(9_000_000), 413)]
+#[case::two_lengths(request(SEGMENT, 1, 1_500, "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n") + "GET ", 400)]
+#[case::half_a_request(request(SEGMENT, 1, 1_500, "")[..40].into(), 408)]
+#[case::wrong_method(request(SEGMENT, 1, 1_500, "").replace("GET", "PUT"), 405)]
+fn bad_clients_are_told_in_time(#[case] text: String, #[case] status: u16) {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| ok(b"x"));
+    let gateway = gateway(&bus, &[cache.cache()]);
+    let got = ask_text(gateway.listen, &text).unwrap();
+    assert_eq!(got.status, status);
+    assert!(got.took < Duration::from_millis(2_900), "{:?}", got.took);
+    assert_eq!(cache.pulls(), 0);
+}
+
+#[test]
+fn who_says_nothing_is_closed_in_time() {
+    let bus = Bus::default();
+    let gateway = gateway(&bus, &[]);
+    let since = Instant::now();
+    let mut silent = TcpStream::connect(gateway.listen).unwrap();
+    silent.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    assert_eq!(silent.read(&mut [0]).unwrap(), 0);
+    assert!(since.elapsed() < Duration::from_millis(2_900), "{:?}", since.elapsed());
+}
+
+/// The id of a request that is open, or that has just been answered, is no new request's.
+#[test]
+fn an_id_is_taken_once() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| {
+        std::thread::sleep(Duration::from_millis(200));
+        ok(b"x")
     });
+    let gateway = gateway(&bus, &[cache.cache()]);
+    let first = send(gateway.listen, &request(SEGMENT, 1, 1_500, ""));
+    wait_for("the attempt", || cache.pulls() == 1);
+    assert_eq!(ask(gateway.listen, "video/other", 1).status, 502);
+    assert_eq!(read_answer(&first, Instant::now()).unwrap().status, 200);
+    assert_eq!(ask(gateway.listen, "video/other", 1).status, 409);
+    assert_eq!(cache.pulls(), 1);
 }
 
 #[test]
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -280,10 +280,11 @@
     Some(Answer { status, fields, body, took: since.elapsed() })
 }
 
-/// A request's text; ids are the caller's.
+/// A request's text; ids are the caller's. Only the class `video` is read.
 pub fn request(target: &str, id: u64, wait_ms: u64, fields: &str) -> String {
+    let method = if target.starts_with("video/") { "GET" } else { "PUT" };
     format!(
-        "GET /svc/{target} HTTP/1.1\r\nHost: x\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: {wait_ms}\r\n{fields}\r\n"
+        "{method} /svc/{target} HTTP/1.1\r\nHost: x\r\nReq-Id: {id:016x}\r\nReq-Wait-Ms: {wait_ms}\r\n{fields}\r\n"
     )
 }
 
