--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,9 @@
 const FAILURE_WEIGHS: f64 = 0.3;
 const SUCCESS_WEIGHS: f64 = 0.25;
 const FAILING: f64 = 0.55;
+/// Attempts of one request that may break, and how long the strike for one can be taken back.
+const MOST_BROKEN: usize = 3;
+const STRIKE_DOUBTED: Micros = 250_000;
 /// First and longest time out; it doubles each time that the trial fails.
 const EJECT_FIRST: Micros = 1_000_000;
 const EJECT_LONGEST: Micros = 8_000_000;
@@ -68,6 +71,15 @@
 /// Kept between the last moment for an answer or an effect and the action, in ticks.
 const TICKS_SPARE: Micros = 2;
 
+#[derive(Clone, Copy, Default)]
+struct Health {
+    /// Share of failures among the latest answers.
+    failing: f64,
+    ejections: u32,
+    out_until: Option<Micros>,
+    trial_out: bool,
+}
+
 #[derive(Default)]
 struct Peer {
     info: Member,
@@ -77,12 +89,11 @@
     capacity: f64,
     /// Seconds that its fills waited lately, and when that was seen.
     wait: (Micros, f64),
-    /// Share of failures among its latest answers, and when it last gave a good one.
-    failing: f64,
+    /// When it last gave a good answer.
     answered: Option<Micros>,
-    ejections: u32,
-    out_until: Option<Micros>,
-    trial_out: bool,
+    /// When it was last struck for a broken attempt.
+    reset: Option<Micros>,
+    health: Health,
     /// Seconds of sending time left of its cold budget, and when that was reckoned.
     budget: Option<(f64, Micros)>,
 }
@@ -113,6 +124,11 @@
         matches!(self.detail, Detail::SourceRefused | Detail::SourceLost | Detail::OriginFailed)
     }
 
+    /// An error, or a connection that broke with the attempt out.
+    fn broken(&self) -> bool {
+        matches!(self.ended, Some(Outcome::Failed | Outcome::Reset))
+    }
+
     fn found_nothing(&self) -> bool {
         self.looked && self.ended == Some(Outcome::Miss)
     }
@@ -129,6 +145,8 @@
     deadline: Micros,
     attempts: Vec<Attempt>,
     bad_sources: Vec<MemberId>,
+    /// Who was struck for this request's first broken attempts, what was held of its health, and when.
+    struck: Vec<(MemberId, Health, Micros)>,
     paused_until: Option<Micros>,
     over: bool,
 }
@@ -320,7 +338,7 @@
 
     fn healthy(&self, id: MemberId) -> bool {
         let peer = &self.peers[&id];
-        peer.out_until.is_none_or(|until| self.now >= until && !peer.trial_out)
+        peer.health.out_until.is_none_or(|until| self.now >= until && !peer.health.trial_out)
     }
 
     /// Drops the members that look bad, unless all parents or most caches do: then the judgement itself is
@@ -333,7 +351,12 @@
         let silent = |id: &MemberId| self.role(*id) == Role::Cache && !heard(id);
         let lost = self.settings.straight && members.iter().all(silent);
         let caches = members.iter().filter(|id| self.role(**id) == Role::Cache).count();
-        if !good.is_empty() && good.len() * 2 >= caches || lost { good } else { members }
+        if !good.is_empty() && good.len() * 2 >= caches || lost {
+            return good;
+        }
+        // A member that has failed its trial as well is not doubted: one that fails fast would draw all.
+        let doubted = only(&|id| self.healthy(*id) || self.peers[id].health.ejections < 2);
+        if doubted.is_empty() { members } else { doubted }
     }
 
     /// Transfers at a member over those that it carries at full pace, by its last report, which fades to the
@@ -520,7 +543,9 @@
             last.ended != Some(Outcome::Unreachable) && !(last.found_nothing() && last.source.is_none())
         });
         // A source that was asked for what it holds lacked it: what it would have to fetch is held back.
-        let hopeless = last.is_some_and(|last| last.found_nothing() && last.source.is_some());
+        // What several members in turn could not use, or broke off at, is no better elsewhere.
+        let useless = open.attempts.iter().filter(|it| it.broken()).count() >= MOST_BROKEN;
+        let hopeless = useless || last.is_some_and(|last| last.found_nothing() && last.source.is_some());
         if !self.may_send_again(open) || hopeless || (costly && self.retries < 1.0) {
             return self.give_up(id, actions);
         }
@@ -690,8 +715,12 @@
             let out = matches!(it.ended, None | Some(Outcome::TimedOut));
             out && self.peers[&it.member].answered > Some(it.sent)
         };
+        // A spoilt answer has left the copy there, and what was never sent says nothing: once more will do.
+        let again = |it: &Attempt| matches!(it.ended, Some(Outcome::Reset | Outcome::NotSent));
         let bad = |id: &MemberId| {
-            open.attempts.iter().any(|it| it.member == *id && !it.found_nothing() && !slow(it))
+            let here = open.attempts.iter().filter(|it| it.member == *id);
+            here.clone().any(|it| !it.found_nothing() && !slow(it) && !again(it))
+                || here.filter(|it| again(it)).count() > 1
         };
         let mut caches = self.without_ejected(self.ordered(Role::Cache, open.key));
         caches.retain(|id| !bad(id));
@@ -736,7 +765,7 @@
         let peer = self.peers.get_mut(&member).expect("listed");
         peer.inflight += 1;
         // After a time out a member gets one request on trial, and no more until that has ended.
-        peer.trial_out |= peer.out_until.is_some();
+        peer.health.trial_out |= peer.health.out_until.is_some();
         // A check asks no source: what it costs the source is charged, but nothing said of it.
         let source = source.filter(|_| !self.open[&id].asked.by_name);
         let attempt =
@@ -812,7 +841,7 @@
         if attempt.ended == Some(Outcome::Served) {
             self.learn_pace(id, attempt);
         }
-        self.learn_health(attempt);
+        self.learn_health(id, attempt);
     }
 
     fn learn_load(&mut self, member: MemberId, load: Load) {
@@ -868,7 +897,7 @@
 
     /// Blame by evidence: details of the source speak of it, and so do a fill that timed out at a cache
     /// that has answered others since, and an untold refusal after a look.
-    fn learn_health(&mut self, attempt: &Attempt) {
+    fn learn_health(&mut self, id: RequestId, attempt: &Attempt) {
         let answered = self.peers.get(&attempt.member).and_then(|peer| peer.answered);
         let alive = match attempt.ended {
             Some(Outcome::TimedOut) => answered > Some(attempt.sent),
@@ -880,17 +909,51 @@
         let blamed = if of_source { attempt.source } else { Some(attempt.member) };
         match attempt.ended.unwrap_or(Outcome::Unknown) {
             Outcome::Served => {
+                self.blame_all(id);
                 let filled = matches!(attempt.detail, Detail::Filled | Detail::FilledByOrigin);
                 self.acquit(attempt.member);
                 attempt.source.filter(|_| filled).into_iter().for_each(|source| self.acquit(source));
             }
             Outcome::Checked => self.acquit(attempt.member),
             Outcome::Unreachable => self.strike(attempt.member, 1.0),
-            Outcome::Failed | Outcome::TimedOut | Outcome::Reset => {
-                blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS));
-            }
+            Outcome::Failed | Outcome::Reset => self.blame_one(id, attempt),
+            Outcome::TimedOut => blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS)),
             Outcome::Full if of_source => blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS)),
-            _ => self.peers.get_mut(&attempt.member).into_iter().for_each(|peer| peer.trial_out = false),
+            _ => {
+                self.peers.get_mut(&attempt.member).into_iter().for_each(|peer| peer.health.trial_out = false)
+            }
+        }
+    }
+
+    /// The first member at which a request breaks is struck. At a second one the request itself looks bad:
+    /// what no store can use must not take healthy ones out, and the first gets its strike back.
+    fn blame_one(&mut self, id: RequestId, attempt: &Attempt) {
+        let (now, member) = (self.now, attempt.member);
+        let (Some(open), Some(peer)) = (self.open.get_mut(&id), self.peers.get_mut(&member)) else { return };
+        let broken = open.attempts.iter().filter(|it| it.broken());
+        if broken.clone().all(|it| it.member == member) {
+            // Connections of one process break together: what was out with the last strike is no news.
+            if attempt.ended == Some(Outcome::Failed) || attempt.sent >= peer.reset.unwrap_or(0) {
+                peer.reset = Some(now);
+                open.struck.push((member, peer.health, now));
+                self.strike(member, FAILURE_WEIGHS);
+            }
+            return;
+        }
+        peer.health.trial_out = false;
+        for (member, before, _) in open.struck.drain(..).rev().filter(|(.., at)| now < at + STRIKE_DOUBTED) {
+            self.peers.get_mut(&member).into_iter().for_each(|peer| peer.health = before);
+        }
+    }
+
+    /// A request that broke at several members was served after all: it was them.
+    fn blame_all(&mut self, id: RequestId) {
+        let broken = self.open[&id].attempts.iter().filter(|it| it.broken()).map(|it| it.member);
+        let mut members: Vec<MemberId> = broken.collect();
+        members.sort();
+        members.dedup();
+        if members.len() > 1 {
+            members.into_iter().for_each(|member| self.strike(member, FAILURE_WEIGHS));
         }
     }
 
@@ -898,12 +961,12 @@
         let now = self.now;
         let Some(peer) = self.peers.get_mut(&id) else { return };
         peer.answered = Some(now);
-        peer.trial_out = false;
-        peer.failing -= peer.failing * SUCCESS_WEIGHS;
-        if peer.out_until.is_none_or(|until| now >= until) {
-            peer.out_until = None;
-            if peer.failing < FAILING / 4.0 {
-                peer.ejections = 0;
+        peer.health.trial_out = false;
+        peer.health.failing -= peer.health.failing * SUCCESS_WEIGHS;
+        if peer.health.out_until.is_none_or(|until| now >= until) {
+            peer.health.out_until = None;
+            if peer.health.failing < FAILING / 4.0 {
+                peer.health.ejections = 0;
             }
         }
     }
@@ -913,16 +976,16 @@
     fn strike(&mut self, id: MemberId, weight: f64) {
         let now = self.now;
         let Some(peer) = self.peers.get_mut(&id) else { return };
-        peer.failing += (1.0 - peer.failing) * weight;
-        let failed_trial = std::mem::take(&mut peer.trial_out);
-        let out = peer.out_until.is_some_and(|until| now < until);
-        let bad = failed_trial || peer.failing >= FAILING;
+        peer.health.failing += (1.0 - peer.health.failing) * weight;
+        let failed_trial = std::mem::take(&mut peer.health.trial_out);
+        let out = peer.health.out_until.is_some_and(|until| now < until);
+        let bad = failed_trial || peer.health.failing >= FAILING;
         if peer.info.role != Role::Origin && !out && bad {
-            let span = (EJECT_FIRST << peer.ejections.min(8)).min(EJECT_LONGEST);
-            peer.out_until = Some(now + span);
-            peer.ejections += 1;
+            let span = (EJECT_FIRST << peer.health.ejections.min(8)).min(EJECT_LONGEST);
+            peer.health.out_until = Some(now + span);
+            peer.health.ejections += 1;
             // A member that comes back starts half way, so that it soon shows what it is worth.
-            peer.failing = peer.failing.min(FAILING / 2.0);
+            peer.health.failing = peer.health.failing.min(FAILING / 2.0);
         }
     }
 }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -31,6 +31,60 @@
     assert_eq!(bench.serve(15, &object).unwrap().member, 1, "back for good");
 }
 
+/// What no store can use: it ends after three, and takes no healthy cache out.
+#[test]
+fn a_request_that_breaks_everywhere_is_blamed_and_not_the_caches() {
+    for outcome in [Outcome::Failed, Outcome::Reset] {
+        let mut bench = Bench::new();
+        for id in 0..40 {
+            bench.ask(id, &format!("bad{id}"));
+            let ends = (0..3).map(|nr| bench.after(MS).ended(id, nr, outcome, Detail::Untold));
+            assert!(refused(&ends.last().unwrap()));
+        }
+        (1..=3).for_each(|cache| {
+            assert_eq!(bench.serve(1_000, &object_at(cache)).unwrap().member, cache);
+        });
+    }
+}
+
+/// Served after all, it is no bad request: those where it broke are.
+#[test]
+fn caches_that_fail_what_another_serves_are_left_out() {
+    let objects = [object_at(1), object_at(2)];
+    let mut bench = Bench::new();
+    for id in 0..8 {
+        let mut out = sent(&bench.ask(id, &objects[id as usize % 2]));
+        for nr in 0.. {
+            let Some(at) = out else { break };
+            let outcome = if at.member == 3 { Outcome::Served } else { Outcome::Failed };
+            out = sent(&bench.after(MS).ended(id, nr, outcome, Detail::Untold));
+        }
+    }
+    objects.iter().for_each(|object| assert_eq!(bench.serve(100, object).unwrap().member, 3));
+}
+
+/// The connection broke, the cache did not: it has the copy now.
+#[test]
+fn after_a_spoilt_answer_the_same_cache_is_asked_once_more() {
+    let object = object_at(1);
+    let mut bench = Bench::new();
+    bench.ask(1, &object);
+    let again = |bench: &mut Bench, nr| sent(&bench.ended(1, nr, Outcome::Reset, Detail::Untold)).unwrap();
+    assert_eq!(again(&mut bench, 0).member, 1);
+    assert_ne!(again(&mut bench, 1).member, 1);
+}
+
+/// Many attempts out at a process that dies end at once: that is one piece of news.
+#[test]
+fn connections_that_break_together_count_once() {
+    let object = object_at(1);
+    let mut bench = Bench::new();
+    (0..8).for_each(|id| drop(bench.ask(id, &object)));
+    bench.after(20 * MS);
+    (0..8).for_each(|id| drop(bench.ended(id, 0, Outcome::Reset, Detail::Untold)));
+    assert_eq!(bench.serve(100, &object).unwrap().member, 1);
+}
+
 #[test]
 fn when_most_look_bad_none_is_left_out() {
     let mut bench = Bench::new();
