--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 const FAILING: f64 = 0.55;
 /// Attempts of one request that may break, and how long the strike for one can be taken back.
 const MOST_BROKEN: usize = 3;
+/// Seconds within which one that breaks has not run for long.
+const BROKE_AT_ONCE: f64 = 0.05;
 const STRIKE_DOUBTED: Micros = 250_000;
 /// First and longest time out; it doubles each time that the trial fails.
 const EJECT_FIRST: Micros = 1_000_000;
@@ -538,9 +540,11 @@
             return;
         }
         let last = open.attempts.last();
-        // A look, and no connection, cost nobody work: the next try needs no budget.
+        // A look, no connection and an error at once cost nobody work: the next try needs no budget.
         let costly = last.is_some_and(|last| {
-            last.ended != Some(Outcome::Unreachable) && !(last.found_nothing() && last.source.is_none())
+            let quick =
+                last.ended == Some(Outcome::Unreachable) || (last.broken() && last.took <= BROKE_AT_ONCE);
+            !(quick || (last.found_nothing() && last.source.is_none()))
         });
         // A source that was asked for what it holds lacked it: what it would have to fetch is held back.
         // What several members in turn could not use, or broke off at, is no better elsewhere.
@@ -916,8 +920,10 @@
             }
             Outcome::Checked => self.acquit(attempt.member),
             Outcome::Unreachable => self.strike(attempt.member, 1.0),
-            Outcome::Failed | Outcome::Reset => self.blame_one(id, attempt),
-            Outcome::TimedOut => blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS)),
+            Outcome::Failed | Outcome::Reset if !of_source => self.blame_one(id, attempt),
+            Outcome::Failed | Outcome::TimedOut | Outcome::Reset => {
+                blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS))
+            }
             Outcome::Full if of_source => blamed.into_iter().for_each(|id| self.strike(id, FAILURE_WEIGHS)),
             _ => {
                 self.peers.get_mut(&attempt.member).into_iter().for_each(|peer| peer.health.trial_out = false)
