--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -82,6 +82,13 @@
         self.entry("box", "edge", "up")
     }
 
+    /// One so large that the module passes on to it whatever comes.
+    pub fn large_cache(&self) -> Value {
+        let mut entry = self.cache();
+        entry["weight"] = json!(10_000.0);
+        entry
+    }
+
     pub fn origin(&self) -> Value {
         self.entry("origin", "hub", "up")
     }
