--- a/src/brain.rs
+++ b/src/brain.rs
@@ -362,12 +362,16 @@
     }
 
     /// Transfers at a member over those that it carries at full pace, by its last report, which fades to the
-    /// usual of its peers. Where stores report nothing, by the own attempts that are out, and as many for
-    /// each other gateway of the location: noise where each has few, yet the only early sign of a full link.
+    /// usual of its peers. Where stores report nothing, a cache by the own attempts that are out, and as many
+    /// for each other gateway of the location: noise where each has few, yet the only early sign of a full
+    /// link. Of parents, which are seldom asked straight, that would say nothing.
     fn load(&self, id: MemberId) -> f64 {
         let peer = &self.peers[&id];
         let usual = self.usual_load[peer.info.role as usize];
         let Some((at, others)) = peer.others else {
+            if peer.info.role != Role::Cache {
+                return usual;
+            }
             let out = f64::from(peer.inflight) * self.routers_of(peer.info.role);
             return out / (peer.capacity * self.warmth(peer)).max(0.05);
         };
@@ -772,7 +776,7 @@
         }
         let (load, role) = (self.load(member), self.role(member) as usize);
         let peer = self.peers.get_mut(&member).expect("listed");
-        if peer.others.is_none() {
+        if peer.others.is_none() && peer.info.role == Role::Cache {
             self.usual_load[role] += (load - self.usual_load[role]) * LEARN / 2.0;
         }
         peer.inflight += 1;
