--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 //! Everything else is an exception with a comment that names the trouble it guards against.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Counts are halved this often (design page: 10 s).
 const HALVE_EVERY: Micros = 10_000_000;
@@ -68,6 +68,8 @@
 const SECOND_FROM: f64 = 0.02;
 /// Wait before the origin, which has no stand-in, is asked again; it doubles each time.
 const ORIGIN_PAUSE: Micros = 60_000;
+/// A member's health and cold budget outlast its absence for this long.
+const GONE_KEPT: Micros = 60_000_000;
 /// Shortest advice to a refused client on when to come back.
 const BACKOFF_LEAST: Micros = 200_000;
 /// Kept between the last moment for an answer or an effect and the action, in ticks.
@@ -91,6 +93,7 @@
     capacity: f64,
     /// Seconds that its fills waited lately, and when that was seen.
     wait: (Micros, f64),
+    gone: Option<Micros>,
     /// When it last gave a good answer.
     answered: Option<Micros>,
     /// When it was last struck for a broken attempt.
@@ -262,6 +265,11 @@
         }
     }
 
+    /// Members that are remembered.
+    pub fn members(&self) -> usize {
+        self.peers.len()
+    }
+
     /// Takes in one event and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
@@ -312,6 +320,14 @@
                 }
             }
         }
+        // New ids come all day: one that is gone for long, and that no open request has met, is forgotten.
+        let attempts = self.open.values().flat_map(|open| &open.attempts);
+        let met: BTreeSet<MemberId> =
+            attempts.flat_map(|it| [Some(it.member), it.source]).flatten().collect();
+        self.peers.retain(|id, peer| {
+            peer.gone = (peer.info.state == MemberState::Gone).then(|| peer.gone.unwrap_or(self.now));
+            peer.gone.is_none_or(|at| self.now < at + GONE_KEPT) || met.contains(id)
+        });
         let here = |info: &Member| info.role != Role::Cache || info.zone == Some(self.settings.zone);
         self.usable.iter_mut().for_each(Vec::clear);
         for peer in self.peers.values().filter(|peer| peer.info.state == MemberState::Serving) {
@@ -362,9 +378,8 @@
     }
 
     /// Transfers at a member over those that it carries at full pace, by its last report, which fades to the
-    /// usual of its peers. Where stores report nothing, a cache by the own attempts that are out, and as many
-    /// for each other gateway of the location: noise where each has few, yet the only early sign of a full
-    /// link. Of parents, which are seldom asked straight, that would say nothing.
+    /// usual of its peers. Where stores report nothing, a cache (parents are seldom asked) by own attempts
+    /// that are out, and as many for each other gateway here: the only early sign of a full link.
     fn load(&self, id: MemberId) -> f64 {
         let peer = &self.peers[&id];
         let usual = self.usual_load[peer.info.role as usize];
@@ -967,9 +982,7 @@
     /// A request that broke at several members was served after all: it was them.
     fn blame_all(&mut self, id: RequestId) {
         let broken = self.open[&id].attempts.iter().filter(|it| it.broken()).map(|it| it.member);
-        let mut members: Vec<MemberId> = broken.collect();
-        members.sort();
-        members.dedup();
+        let members: BTreeSet<MemberId> = broken.collect();
         if members.len() > 1 {
             members.into_iter().for_each(|member| self.strike(member, FAILURE_WEIGHS));
         }
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -180,9 +180,11 @@
     /// Takes in a list of members.
     pub fn members(&mut self, now: Micros, kind: ListKind, members: Vec<Member>) {
         if kind == ListKind::Complete {
-            self.states.values_mut().for_each(|state| *state = MemberState::Gone);
+            self.states.clear();
         }
         self.states.extend(members.iter().map(|member| (member.id, member.state)));
+        // Who is not here does not serve: ids that are gone must not add up all day.
+        self.states.retain(|_, state| *state != MemberState::Gone);
         let mut actions = Vec::new();
         self.router.handle(now, Event::Members { kind, members }, &mut actions);
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -65,6 +65,26 @@
     assert!(late < 10, "{late}");
 }
 
+/// Stores are replaced by new ones all day. Who asks them must not remember them all; what is open goes on.
+#[test]
+fn members_gone_for_long_are_forgotten_unless_a_request_has_met_them() {
+    let mut bench = Bench::new();
+    let met = sent(&bench.ask(1, "a")).unwrap().member;
+    let (before, mut last) = (bench.router.members(), 0);
+    for id in 100..200 {
+        let gone = Member { state: MemberState::Gone, ..member(last, Role::Cache) };
+        let members = vec![gone, member(id, Role::Cache)];
+        bench.after(10 * SECOND).event(Event::Members { kind: ListKind::Changes, members });
+        last = id;
+    }
+    let gone = |id| Member { state: MemberState::Gone, ..member(id, Role::Cache) };
+    bench.event(Event::Members { kind: ListKind::Changes, members: (1..=3).map(gone).collect() });
+    bench.after(61 * SECOND).event(Event::Members { kind: ListKind::Changes, members: vec![] });
+    assert!(bench.router.members() <= before, "{}", bench.router.members());
+    bench.ended(1, 0, Outcome::Served, Detail::Hit);
+    assert!((1..=3).contains(&met));
+}
+
 /// The connection broke, the cache did not: it has the copy now.
 #[test]
 fn after_a_spoilt_answer_the_same_cache_is_asked_once_more() {
