--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -194,7 +194,16 @@
                 match notes.recv() {
                     // A timer decided: the attempt that is still out is given up before another goes out.
                     Ok(Note::Verdict(next)) => {
-                        settles = out.take().is_some_and(|(_, ticket)| ticket.kill(true));
+                        settles = out.take().is_some_and(|(order, ticket)| {
+                            let source = order.fill.and_then(|fill| fill.source).map_or(0, |source| source.0);
+                            log::debug!(
+                                "{:016x} attempt {} at {:08x} from {source:08x}: given up",
+                                order.request.0,
+                                order.attempt,
+                                order.member.0,
+                            );
+                            ticket.kill(true)
+                        });
                         verdict = Some(next);
                     }
                     Ok(Note::Reply { attempt, reply }) => {
