--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 //! ask the first cache, name the first parent as source, keep the copy at a rank set by the count.
 //! Everything else is an exception with a comment that names the trouble it guards against.
 
+use crate::hash::{self, mix};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -120,13 +121,9 @@
 }
 
 impl Attempt {
-    fn hit(&self) -> bool {
-        matches!(self.detail, Detail::Hit | Detail::Stale)
-    }
-
-    /// That a source lacks the object is no failure of its own.
-    fn source_failed(&self) -> bool {
-        matches!(self.detail, Detail::SourceRefused | Detail::SourceLost | Detail::OriginFailed)
+    /// One that is still out may have run too.
+    fn may_have_run(&self) -> bool {
+        self.ended.is_none_or(Outcome::may_have_run)
     }
 
     /// An error, or a connection that broke with the attempt out.
@@ -182,6 +179,8 @@
     now: Micros,
     random: u64,
     peers: BTreeMap<MemberId, Peer>,
+    /// Members that operators have taken out by hand.
+    out: BTreeSet<MemberId>,
     /// Serving members that may be asked: the own zone's caches, all parents, all origins.
     usable: [Vec<MemberId>; 3],
     counts: BTreeMap<u64, u32>,
@@ -213,27 +212,9 @@
 
 type Actions<'a> = &'a mut Vec<Action>;
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-fn hash_text(text: &str) -> u64 {
-    let fnv = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, fnv))
-}
-
 /// Weighted rendezvous score: the same at all routers, and moved little by members that come or go.
 fn rendezvous(key: u64, id: MemberId, weight: f64) -> f64 {
-    let hash = mix(key ^ mix(u64::from(id.0)));
-    let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
-    -weight.max(0.001) / unit.ln()
-}
-
-fn may_have_run(outcome: Option<Outcome>) -> bool {
-    use Outcome::*;
-    !matches!(outcome, Some(Full | Unreachable | NotSent | Miss))
+    -weight.max(0.001) / hash::unit(mix(key ^ mix(u64::from(id.0)))).ln()
 }
 
 fn seconds(span: Micros) -> f64 {
@@ -294,6 +275,11 @@
             }
             Event::Abandoned { request } => self.close(request, actions),
             Event::Timer(timer) => self.wake(RequestId(timer.0), actions),
+            Event::TakenOut(member) => {
+                self.out.insert(member);
+                return self.refresh_usable();
+            }
+            Event::PutBack { member, at } => return self.put_back(member, at),
         };
         let done = |open: &Open| open.over && open.attempts.iter().all(|attempt| attempt.ended.is_some());
         if self.open.get(&id).is_some_and(done) {
@@ -328,15 +314,34 @@
             peer.gone = (peer.info.state == MemberState::Gone).then(|| peer.gone.unwrap_or(self.now));
             peer.gone.is_none_or(|at| self.now < at + GONE_KEPT) || met.contains(id)
         });
+        self.refresh_usable();
+    }
+
+    /// Taken out by hand counts as draining, whatever the list says.
+    fn refresh_usable(&mut self) {
         let here = |info: &Member| info.role != Role::Cache || info.zone == Some(self.settings.zone);
         self.usable.iter_mut().for_each(Vec::clear);
         for peer in self.peers.values().filter(|peer| peer.info.state == MemberState::Serving) {
-            if here(&peer.info) {
+            if here(&peer.info) && !self.out.contains(&peer.info.id) {
                 self.usable[peer.info.role as usize].push(peer.info.id);
             }
         }
     }
 
+    /// Back from the operators' hands it is cold, as far as anyone knows: it was restarted, perhaps unheard.
+    fn put_back(&mut self, id: MemberId, at: Micros) {
+        if self.out.remove(&id) {
+            let info = self.peers.get(&id).map(|peer| peer.info.clone());
+            let started = |info: Member| Member { started: info.started.max(Some(at)), ..info };
+            self.list(ListKind::Changes, info.map(started).into_iter().collect());
+        }
+    }
+
+    /// Whether an operator has taken this member out.
+    pub fn is_out(&self, id: MemberId) -> bool {
+        self.out.contains(&id)
+    }
+
     /// Members of a role in hash order that may be sent something new. A draining or gone member is
     /// dropped at once, as target and as source, well inside the grace (rule: drains are kept). A cold one
     /// weighs what it can do: it gets a growing part of its objects, the same at all gateways.
@@ -410,14 +415,8 @@
 
     /// Least share of its capacity that a member has now, by the settings.
     fn warmth(&self, peer: &Peer) -> f64 {
-        let rule = self.cold_rule(peer.info.role);
-        match peer.info.started {
-            Some(at) if peer.info.role != Role::Origin && self.now < at + rule.warm_up => {
-                let risen = self.now.saturating_sub(at) as f64 / rule.warm_up as f64;
-                rule.floor + (1.0 - rule.floor) * risen
-            }
-            _ => 1.0,
-        }
+        let started = peer.info.started.filter(|_| peer.info.role != Role::Origin);
+        started.map_or(1.0, |at| self.cold_rule(peer.info.role).share(self.now.saturating_sub(at)))
     }
 
     /// Takes `work` seconds of sending time from a cold member's budget, or says that it is spent (rule: a
@@ -443,7 +442,7 @@
 
     fn chance(&mut self) -> f64 {
         self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
+        hash::unit(mix(self.random))
     }
 
     fn halve_counts(&mut self) {
@@ -468,7 +467,7 @@
     fn purged(&mut self, object: Option<String>, group: Option<u64>, ago: Micros) {
         let at = self.now.saturating_sub(ago);
         let key = match (object, group) {
-            (Some(object), _) => (true, hash_text(&object)),
+            (Some(object), _) => (true, hash::text(&object)),
             (None, Some(group)) => (false, group),
             (None, None) => return,
         };
@@ -492,7 +491,7 @@
             actions.push(Action::Fail { request: id });
             return id;
         };
-        let object = hash_text(&asked.object);
+        let object = hash::text(&asked.object);
         let key = mix(object ^ mix(u64::from(asked.part)));
         let uncacheable = self.settings.classes[class].uncacheable;
         let rank = if uncacheable { 0 } else { self.count(key) };
@@ -590,7 +589,7 @@
         if open.attempts.len() >= self.settings.max_attempts as usize || self.now + spare >= open.deadline {
             return false;
         }
-        let first_run = open.attempts.iter().find(|attempt| may_have_run(attempt.ended));
+        let first_run = open.attempts.iter().find(|attempt| attempt.may_have_run());
         match (self.settings.classes[open.class].effect, first_run) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::Keyed { memory, .. }, Some(first)) => self.now + spare < first.sent + memory,
@@ -600,24 +599,15 @@
 
     fn in_group(&self, open: &Open, member: MemberId) -> bool {
         let Effect::Keyed { group, .. } = self.settings.classes[open.class].effect else { return true };
-        let ran = open.attempts.iter().filter(|attempt| may_have_run(attempt.ended));
+        let ran = open.attempts.iter().filter(|attempt| attempt.may_have_run());
         let new = &self.peers[&member].info;
-        ran.map(|attempt| &self.peers[&attempt.member].info).all(|old| match group {
-            RepeatGroup::All => true,
-            RepeatGroup::Zone => old.zone == new.zone,
-            RepeatGroup::Cell => old.cell == new.cell,
-        })
+        ran.map(|attempt| &self.peers[&attempt.member].info).all(|old| group.holds(old, new))
     }
 
     fn give_up(&mut self, id: RequestId, actions: Actions) {
         let Some(open) = self.open.get(&id).filter(|open| !open.over) else { return };
-        let ran = open.attempts.iter().any(|attempt| may_have_run(attempt.ended));
-        let harmless = match self.settings.classes[open.class].effect {
-            Effect::Repeatable => true,
-            Effect::Keyed { group, .. } => !ran || group == RepeatGroup::All,
-            Effect::Once => !ran,
-        };
-        if harmless {
+        let ran = open.attempts.iter().any(|attempt| attempt.may_have_run());
+        if !ran || self.settings.classes[open.class].effect.harmless_again() {
             let spread = BACKOFF_LEAST as f64 * self.chance();
             let backoff = self.settings.max_backoff.map(|most| most.min(BACKOFF_LEAST + spread as Micros));
             actions.push(Action::Refuse { request: id, backoff });
@@ -855,13 +845,13 @@
     fn learn(&mut self, id: RequestId, attempt: &Attempt) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(source) = attempt.source {
-            let of_source = attempt.source_failed() || attempt.detail == Detail::SourceLacks;
+            let of_source = attempt.detail.source_failed() || attempt.detail == Detail::SourceLacks;
             if of_source || attempt.ended == Some(Outcome::Full) {
                 open.bad_sources.push(source);
             }
             // Hits and joined fills never reached the source: its cold budget gets them back.
             let budget = self.peers.get_mut(&source).and_then(|source| source.budget.as_mut());
-            if attempt.hit() || attempt.detail == Detail::Joined {
+            if attempt.detail.hit() || attempt.detail == Detail::Joined {
                 budget.into_iter().for_each(|budget| budget.0 += attempt.charged);
             }
         }
@@ -887,7 +877,7 @@
     /// as far as one was likely; the answer may as well be lost.
     fn learn_waits(&mut self, id: RequestId, attempt: &Attempt) {
         let open = &self.open[&id];
-        let filled = matches!(attempt.detail, Detail::Filled | Detail::FilledByOrigin | Detail::Joined);
+        let filled = attempt.detail.filled() || attempt.detail == Detail::Joined;
         let late = attempt.ended == Some(Outcome::TimedOut);
         if late || attempt.ended == Some(Outcome::Served) {
             let first = open.attempts.iter().any(|other| other.ended.is_none() && other.sent < attempt.sent);
@@ -915,7 +905,7 @@
     }
 
     fn learn_pace(&mut self, id: RequestId, attempt: &Attempt) {
-        let (work, rank, hit) = (self.open[&id].work, self.open[&id].rank, attempt.hit());
+        let (work, rank, hit) = (self.open[&id].work, self.open[&id].rank, attempt.detail.hit());
         self.served.learn(attempt.took, work);
         let share = &mut self.misses[usize::from(rank)];
         *share += (f64::from(u8::from(!hit)) - *share) * LEARN / 4.0;
@@ -936,14 +926,14 @@
                 ended == Some(Outcome::Full) && attempt.detail == Detail::Untold && attempt.likely == 1.0
             }
         };
-        let of_source = attempt.source_failed() || (alive && attempt.source.is_some());
+        let of_source = attempt.detail.source_failed() || (alive && attempt.source.is_some());
         let blamed = if of_source { attempt.source } else { Some(attempt.member) };
         match attempt.ended.unwrap_or(Outcome::Unknown) {
             Outcome::Served => {
                 self.blame_all(id);
-                let filled = matches!(attempt.detail, Detail::Filled | Detail::FilledByOrigin);
                 self.acquit(attempt.member);
-                attempt.source.filter(|_| filled).into_iter().for_each(|source| self.acquit(source));
+                let filled_by = attempt.source.filter(|_| attempt.detail.filled());
+                filled_by.into_iter().for_each(|source| self.acquit(source));
             }
             Outcome::Checked => self.acquit(attempt.member),
             Outcome::Unreachable => self.strike(attempt.member, 1.0),
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -101,6 +101,8 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     states: BTreeMap<MemberId, MemberState>,
     purges: VecDeque<Purge>,
+    /// Since when an operator has the gateway emptied.
+    drained: Option<Micros>,
 }
 
 impl<W: Waiter> Broker<W> {
@@ -111,9 +113,30 @@
             timers: BinaryHeap::new(),
             states: BTreeMap::new(),
             purges: VecDeque::new(),
+            drained: None,
         }
     }
 
+    /// An operator takes a member out. It counts as draining from now on, until it is put back.
+    pub fn take_out(&mut self, now: Micros, member: MemberId) {
+        self.router.handle(now, Event::TakenOut(member), &mut Vec::new());
+    }
+
+    /// An operator puts a member back, which has started `at` as far as anyone knows.
+    pub fn put_back(&mut self, now: Micros, member: MemberId, at: Micros) {
+        self.router.handle(now, Event::PutBack { member, at }, &mut Vec::new());
+    }
+
+    /// An operator has the gateway emptied, or ends that. A drain under way goes on from its begin.
+    pub fn drain(&mut self, now: Micros, drained: bool) {
+        self.drained = drained.then(|| self.drained.unwrap_or(now));
+    }
+
+    /// Since when the gateway is being emptied.
+    pub fn drained(&self) -> Option<Micros> {
+        self.drained
+    }
+
     /// Requests that have no final verdict yet.
     pub fn open(&self) -> usize {
         self.open.len()
@@ -201,7 +224,7 @@
 
     /// Whether a member may be given new work.
     pub fn serving(&self, member: MemberId) -> bool {
-        self.states.get(&member) == Some(&MemberState::Serving)
+        self.states.get(&member) == Some(&MemberState::Serving) && !self.router.is_out(member)
     }
 
     /// Asked again as an attempt's first byte is about to be written, which may be long after it was picked
--- a/src/config.rs
+++ b/src/config.rs
@@ -50,6 +50,10 @@
     pub seed: u64,
     pub memory_mb: usize,
     pub sockets: usize,
+    /// Where operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// The folder of what outlives this process: `$TMPDIR`, where that is set.
+    pub lasting: Option<PathBuf>,
     pub bus: SocketAddr,
     /// The bus's events of the start.
     pub known: Batch,
@@ -86,6 +90,7 @@
     seed: Option<Value>,
     #[serde(default)]
     limits: Limits,
+    admin: Option<String>,
     bus: Option<String>,
     known: Option<Value>,
     settings: Option<Value>,
@@ -196,6 +201,8 @@
         seed: seed(file.seed.as_ref())?,
         memory_mb: at_least("limits.memory_mb", file.limits.memory_mb.unwrap_or(MEMORY_MB), MEMORY_MB_LEAST)?,
         sockets: at_least("limits.sockets", file.limits.sockets.unwrap_or(SOCKETS), SOCKETS_LEAST)?,
+        admin: file.admin.as_deref().map(|at| address("admin", Some(at))).transpose()?,
+        lasting: None,
         bus: address("bus", file.bus.as_deref())?,
         known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
         settings,
@@ -293,6 +300,10 @@
     let text = std::fs::read_to_string(&path)
         .map_err(|e| fault("NODE_CONFIG", format!("{}: {e}", path.display())))?;
     let mut config = decode(&text, var("NODE_NAME"), var("NODE_LISTEN"))?;
+    if let Some(at) = var("NODE_ADMIN") {
+        config.admin = Some(address("NODE_ADMIN", Some(&at))?);
+    }
+    config.lasting = var("TMPDIR").map(Into::into);
     if let Some(text) = optional("dns", dns)? {
         config.dns = decode_dns(&text, &config.names)?;
     }
--- /dev/null
+++ b/src/hash.rs
@@ -0,0 +1,21 @@
+//! Hashes that are the same at all gateways and in all versions.
+
+const PRIME: u64 = 0x0100_0000_01b3;
+const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Spreads the bits of a number (the finisher of SplitMix64).
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// FNV-1a over the bytes, spread.
+pub fn text(text: &str) -> u64 {
+    mix(text.bytes().fold(BASIS, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(PRIME)))
+}
+
+/// A hash as evenly spread number between 0 and 1, neither of them included.
+pub fn unit(hash: u64) -> f64 {
+    ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -25,6 +25,17 @@
     Cell,
 }
 
+impl RepeatGroup {
+    /// Whether two members drop each other's repeats.
+    pub fn holds(self, one: &Member, other: &Member) -> bool {
+        match self {
+            RepeatGroup::All => true,
+            RepeatGroup::Zone => one.zone == other.zone,
+            RepeatGroup::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 /// What a request does when it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -36,6 +47,13 @@
     Once,
 }
 
+impl Effect {
+    /// Whether a client may be told that trying again is harmless although the request may have run.
+    pub fn harmless_again(self) -> bool {
+        matches!(self, Effect::Repeatable | Effect::Keyed { group: RepeatGroup::All, .. })
+    }
+}
+
 /// A request class.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -72,7 +90,17 @@
     pub window: Micros,
 }
 
-/// What stays fixed while a router runs.
+impl ColdRule {
+    /// Least share of its capacity that a member has at this age.
+    pub fn share(self, age: Micros) -> f64 {
+        if age >= self.warm_up {
+            return 1.0;
+        }
+        self.floor + (1.0 - self.floor) * age as f64 / self.warm_up as f64
+    }
+}
+
+/// What stays fixed until new settings come.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
     pub classes: Vec<Class>,
@@ -185,6 +213,14 @@
     Unknown,
 }
 
+impl Outcome {
+    /// Whether the request may have run; the others prove that it never did.
+    pub fn may_have_run(self) -> bool {
+        use Outcome::*;
+        !matches!(self, Full | Unreachable | NotSent | Miss)
+    }
+}
+
 /// What an outcome told of how the answer came about.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Detail {
@@ -202,6 +238,22 @@
     OriginFailed,
 }
 
+impl Detail {
+    pub fn hit(self) -> bool {
+        matches!(self, Detail::Hit | Detail::Stale)
+    }
+
+    /// A fill of its own brought the answer.
+    pub fn filled(self) -> bool {
+        matches!(self, Detail::Filled | Detail::FilledByOrigin)
+    }
+
+    /// That a source lacks the object is no failure of its own.
+    pub fn source_failed(self) -> bool {
+        matches!(self, Detail::SourceRefused | Detail::SourceLost | Detail::OriginFailed)
+    }
+}
+
 /// Which part of the list an update holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListKind {
@@ -244,6 +296,13 @@
         request: RequestId,
     },
     Timer(TimerId),
+    /// An operator takes a member out: it counts as draining until it is put back, whatever lists say.
+    TakenOut(MemberId),
+    /// An operator puts a member back. It may have restarted meanwhile, so it counts as started `at`.
+    PutBack {
+        member: MemberId,
+        at: Micros,
+    },
 }
 
 /// Orders for a miss.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod broker;
 pub mod config;
 pub mod consensus;
+mod hash;
 pub mod interface;
 pub mod log;
 pub mod net;
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,219 @@
+//! Operators' calls: HTTP/1.1 on an address of their own, one call to a connection.
+//!
+//! Its places are apart from the clients', and half calls can't use them up: where all are taken, the one
+//! that has waited longest for its caller makes way.
+
+use super::gateway::Shared;
+use super::handover::{Intent, Keeper};
+use super::http::{Answer, Bad};
+use super::lock;
+use may::io::WaitIo;
+use may::net::{TcpListener, TcpStream};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::Shutdown;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// Connections at once, and the largest call.
+const PLACES: usize = 16;
+const LARGEST: usize = 16 * 1024;
+const MOST_FIELDS: usize = 64;
+/// A call is whole after this, and its answer is taken after that, or its connection is closed.
+const SLOWEST: Duration = Duration::from_secs(3);
+const DRAIN: Duration = Duration::from_secs(1);
+const NO_DESCRIPTORS: Duration = Duration::from_millis(10);
+
+#[derive(Clone, Debug, PartialEq)]
+enum Call {
+    Ready,
+    Change(Intent),
+}
+
+/// Reads a call. `None`: more is to come.
+fn call(buffer: &[u8]) -> Result<Option<Call>, Bad> {
+    let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    let head = match request.parse(buffer) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) if buffer.len() <= LARGEST => return Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad(431, "the head is too large")),
+        Err(_) => return Err(Bad(400, "not an HTTP request")),
+    };
+    let mut length = 0;
+    for field in request.headers.iter() {
+        if field.name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(Bad(400, "calls have no coded body"));
+        }
+        if field.name.eq_ignore_ascii_case("content-length") {
+            let told = std::str::from_utf8(field.value).ok().and_then(|text| text.trim().parse().ok());
+            length = told.filter(|length| *length <= LARGEST).ok_or(Bad(400, "Content-Length"))?;
+        }
+    }
+    let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
+    let words: Vec<&str> = path.split('?').next().unwrap_or_default().split('/').collect();
+    let (allowed, call) = match words[..] {
+        ["", "v1", "readyz"] => ("GET", Call::Ready),
+        ["", "v1", "stores", id, "suspend"] => ("POST", Call::Change(Intent::TakeOut(id.into()))),
+        ["", "v1", "stores", id, "resume"] => ("POST", Call::Change(Intent::PutBack(id.into()))),
+        ["", "v1", "gateway", "drain"] => ("POST", Call::Change(Intent::Drain(true))),
+        ["", "v1", "gateway", "activate"] => ("POST", Call::Change(Intent::Drain(false))),
+        _ => return Err(Bad(404, "no such call")),
+    };
+    if method != allowed {
+        return Err(Bad(405, allowed));
+    }
+    Ok((buffer.len() >= head + length).then_some(call))
+}
+
+fn answer(shared: &Shared, keeper: &Keeper, call: Call) -> Answer {
+    let plain = |status, text: &str| Answer::new(status, format!("{text}\n").into());
+    match call {
+        Call::Ready => match shared.not_ready() {
+            None => plain(200, "ready"),
+            Some(cause) => plain(503, cause),
+        },
+        Call::Change(Intent::TakeOut(id) | Intent::PutBack(id)) if !shared.has_store(&id) => {
+            plain(404, "no such store")
+        }
+        Call::Change(intent) => match keeper.amend(intent.clone()) {
+            Ok(()) => plain(200, "done"),
+            Err(e) => {
+                log::error!("{intent:?}: {e}");
+                plain(500, "not stored; nothing has changed, or not for certain: call again")
+            }
+        },
+    }
+}
+
+struct Caller {
+    stream: Arc<TcpStream>,
+    since: Instant,
+    /// Its call is whole: it is not closed for another one's sake.
+    heard: bool,
+}
+
+#[derive(Default)]
+struct Desk {
+    callers: Mutex<BTreeMap<u64, Caller>>,
+}
+
+impl Desk {
+    /// Closes who has waited too long, and who has waited longest where there is no room.
+    fn tidy(&self) {
+        let callers = lock(&self.callers);
+        let full = callers.len() >= PLACES;
+        let longest = callers.values().filter(|it| !it.heard && full).map(|it| it.since).min();
+        for caller in callers.values() {
+            let limit = if caller.heard { DRAIN } else { SLOWEST };
+            if caller.since.elapsed() > limit || (!caller.heard && Some(caller.since) == longest) {
+                let _ = caller.stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
+
+/// Answers operators for ever.
+pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, keeper: Keeper) {
+    let (desk, keeper) = (Arc::new(Desk::default()), Arc::new(keeper));
+    let tidied = desk.clone();
+    super::spawn(move || {
+        loop {
+            may::coroutine::sleep(DRAIN / 10);
+            tidied.tidy();
+        }
+    });
+    for number in 0.. {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => Arc::new(stream),
+            Err(e) => {
+                log::warn!("operators: accept: {e}");
+                may::coroutine::sleep(NO_DESCRIPTORS);
+                continue;
+            }
+        };
+        let caller = Caller { stream: stream.clone(), since: Instant::now(), heard: false };
+        lock(&desk.callers).insert(number, caller);
+        let (shared, keeper, ours) = (shared.clone(), keeper.clone(), desk.clone());
+        super::spawn(move || {
+            let done = super::Defer(|| drop(lock(&ours.callers).remove(&number)));
+            if let Err(e) = serve(&shared, &keeper, &ours, number, &stream) {
+                log::debug!("operators: {e}");
+            }
+            drop(done);
+        });
+        while lock(&desk.callers).len() > PLACES {
+            desk.tidy();
+            may::coroutine::sleep(NO_DESCRIPTORS);
+        }
+    }
+}
+
+fn serve(shared: &Shared, keeper: &Keeper, desk: &Desk, number: u64, stream: &TcpStream) -> io::Result<()> {
+    let (mut buffer, mut piece) = (Vec::new(), [0; 2 * 1024]);
+    let answer = loop {
+        match call(&buffer) {
+            Ok(Some(call)) => break answer(shared, keeper, call),
+            Ok(None) => {}
+            Err(bad) => break bad.answer(),
+        }
+        match read(stream, &mut piece)? {
+            0 => return Ok(()),
+            read => buffer.extend_from_slice(&piece[..read]),
+        }
+    };
+    if let Some(caller) = lock(&desk.callers).get_mut(&number) {
+        (caller.heard, caller.since) = (true, Instant::now());
+    }
+    // Short enough for any socket's buffer.
+    stream.inner().write_all(&[answer.head(true).as_bytes(), &answer.body].concat())?;
+    // Closed with unread input the connection would be reset, and that can destroy the answer.
+    stream.shutdown(Shutdown::Write)?;
+    while read(stream, &mut piece)? > 0 {}
+    Ok(())
+}
+
+fn read(stream: &TcpStream, piece: &mut [u8]) -> io::Result<usize> {
+    loop {
+        match stream.inner().read(piece) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                stream.wait_io();
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            other => return other,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[rstest]
+    #[case::ready("GET /v1/readyz", Call::Ready)]
+    #[case::query("GET /v1/readyz?now", Call::Ready)]
+    #[case::out("POST /v1/stores/s-1/suspend", Call::Change(Intent::TakeOut("s-1".into())))]
+    #[case::back("POST /v1/stores/s-1/resume", Call::Change(Intent::PutBack("s-1".into())))]
+    #[case::drain("POST /v1/gateway/drain", Call::Change(Intent::Drain(true)))]
+    #[case::activate("POST /v1/gateway/activate", Call::Change(Intent::Drain(false)))]
+    fn a_call_is_taken_once_it_is_whole(#[case] line: &str, #[case] expected: Call) {
+        let text = format!("{line} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{{}}");
+        for cut in 0..text.len() {
+            assert_eq!(call(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
+        }
+        assert_eq!(call(text.as_bytes()), Ok(Some(expected)));
+    }
+
+    #[rstest]
+    #[case::no_http("what?\r\n\r\n", 400)]
+    #[case::path("GET /v1/other HTTP/1.1\r\n\r\n", 404)]
+    #[case::longer_path("POST /v1/gateway/drain/now HTTP/1.1\r\n\r\n", 404)]
+    #[case::method("GET /v1/gateway/drain HTTP/1.1\r\n\r\n", 405)]
+    #[case::post_ready("POST /v1/readyz HTTP/1.1\r\n\r\n", 405)]
+    #[case::length("POST /v1/gateway/drain HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400)]
+    #[case::chunked("POST /v1/gateway/drain HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400)]
+    fn other_calls_are_told_why(#[case] text: &str, #[case] status: u16) {
+        assert_eq!(call(text.as_bytes()).unwrap_err().0, status);
+    }
+}
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -116,6 +116,10 @@
         let (Some(source), true) = (source, question.query_class() == DNSClass::IN) else {
             return Judged::Code(ResponseCode::Refused);
         };
+        // Whoever asks is to go on to another gateway.
+        if self.shared.leaving().is_some() {
+            return Judged::Code(ResponseCode::Refused);
+        }
         match named {
             Named::Elsewhere => Judged::Code(ResponseCode::Refused),
             Named::Unknown => Judged::Code(ResponseCode::NXDomain),
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -3,8 +3,10 @@
 
 use super::bus::{self, Batch, Event, list_kind};
 use super::clock::Clock;
+use super::handover::{self, Intents};
+use super::http::Leaving;
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
-use super::{Place, dns, http, lock};
+use super::{Place, admin, dns, http, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use crate::config::{Config, Routes, decode_routes};
 use crate::consensus::Instance;
@@ -29,6 +31,10 @@
 const SETTLES: Duration = Duration::from_millis(10);
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
 const LINGER: Duration = Duration::from_millis(1_000);
+/// A drained gateway closes what is idle after this, and what has not asked for anything after that: 4 s
+/// after the drain's begin no client may hold a connection with a request of the 2 s before.
+const DRAINED_IDLE: Duration = Duration::from_millis(1_000);
+const DRAINED_ASKING: Duration = Duration::from_millis(1_700);
 /// Memory that is kept out of the reckoning of answers, and what one answer may take of the rest: an object
 /// of 240,000 bytes, its request's buffers and its coroutine's stack.
 const MEMORY_OWN_MB: usize = 8;
@@ -94,6 +100,11 @@
     /// Where the event bus is followed, and how far.
     pub(super) feed: bus::Feed,
     routes: Mutex<Arc<Routes>>,
+    /// What operators want.
+    pub(super) intents: Mutex<Intents>,
+    /// Lists are applied, what lasts is read, and clients are listened for.
+    ready: AtomicBool,
+    stopping: AtomicBool,
     open: Arc<AtomicUsize>,
 }
 
@@ -115,6 +126,28 @@
         *lock(&self.routes) = Arc::new(routes);
     }
 
+    /// Why this process does not take clients now; `None`: it does.
+    pub fn not_ready(&self) -> Option<&'static str> {
+        if self.stopping.load(Ordering::SeqCst) {
+            return Some("stopping");
+        }
+        if !self.ready.load(Ordering::SeqCst) {
+            return Some("starting");
+        }
+        self.broker().drained().map(|_| "drained")
+    }
+
+    /// Whether clients are being sent away.
+    pub fn leaving(&self) -> Option<Leaving> {
+        let since = self.clock.now() - self.broker().drained()?;
+        Some(Leaving { since: Duration::from_micros(since), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
+    }
+
+    /// Whether operators may name this store.
+    pub fn has_store(&self, name: &str) -> bool {
+        self.stores.knows(name) || lock(&self.intents).names(name)
+    }
+
     /// Counts a request as open until what is returned is dropped.
     pub(super) fn taken(&self) -> Option<Place> {
         Place::take(&self.open, usize::MAX)
@@ -268,6 +301,8 @@
 pub struct Gateway {
     pub shared: Arc<Shared>,
     pub listen: SocketAddr,
+    /// Where operators call.
+    pub admin: Option<SocketAddr>,
     pub dns: Option<SocketAddr>,
     /// Where routes are agreed on, with the other instances of the group.
     pub raft: Option<Instance>,
@@ -276,8 +311,21 @@
 impl Gateway {
     /// Applies what is known, then listens.
     pub fn start(config: Config) -> io::Result<Gateway> {
-        let Config { name, listen, seed, memory_mb, sockets, bus, known, settings, names, dns, raft, .. } =
-            config;
+        let Config {
+            name,
+            listen,
+            seed,
+            memory_mb,
+            sockets,
+            bus,
+            known,
+            settings,
+            names,
+            dns,
+            raft,
+            admin,
+            lasting,
+        } = config;
         let clock = Clock::default();
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
@@ -302,9 +350,19 @@
             listed: AtomicBool::new(false),
             feed: bus::Feed::default(),
             routes: Mutex::default(),
+            intents: Mutex::default(),
+            ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             open: Arc::default(),
         });
         bus::take(&shared, known);
+        let keeper = handover::start(&shared, lasting.as_deref(), &name)?;
+        let admin = admin.map(TcpListener::bind).transpose()?;
+        let operators = admin.as_ref().map(TcpListener::local_addr).transpose()?;
+        if let Some(admin) = admin {
+            let asked = shared.clone();
+            super::spawn(move || admin::listen(&asked, &admin, keeper));
+        }
         let listener = TcpListener::bind(listen)?;
         let listen = listener.local_addr()?;
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
@@ -339,12 +397,13 @@
                 }
                 if round.is_multiple_of(SWEEP_EVERY) {
                     timed.stores.sweep();
-                    seated.sweep();
+                    seated.sweep(timed.leaving());
                 }
             }
         });
+        shared.ready.store(true, Ordering::SeqCst);
         log::info!("{name} serves at {listen}");
-        Ok(Gateway { shared, listen, dns, raft })
+        Ok(Gateway { shared, listen, admin: operators, dns, raft })
     }
 
     /// Takes in a configuration that has replaced the one of the start: the event bus is followed at its new
@@ -361,6 +420,7 @@
         loop {
             std::thread::sleep(Duration::from_millis(20));
             if stop.load(Ordering::SeqCst) {
+                self.shared.stopping.store(true, Ordering::SeqCst);
                 let since = *since.get_or_insert_with(Instant::now);
                 if since.elapsed() >= LINGER && self.shared.open.load(Ordering::SeqCst) == 0 {
                     return;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -48,7 +48,16 @@
 
 /// Why a request cannot be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Bad(u16, &'static str);
+pub struct Bad(pub u16, pub &'static str);
+
+impl Bad {
+    pub fn answer(self) -> Answer {
+        let Bad(status, cause) = self;
+        log::debug!("{status}: {cause}");
+        let allowed = if status == 405 { format!("Allow: {cause}\r\n") } else { String::new() };
+        Answer { extra: allowed, ..Answer::new(status, cause.into()) }
+    }
+}
 
 /// What a client sent, whole.
 #[derive(Debug, PartialEq)]
@@ -216,7 +225,7 @@
         Some("GET") if length > 0 => return Err(Bad(400, "a GET with a body")),
         Some("GET") => false,
         Some("PUT") => true,
-        _ => return Err(Bad(405, "the method is not GET or PUT")),
+        _ => return Err(Bad(405, "GET, PUT")),
     };
     let (class, name, part) = target(path)?;
     object.id = id.ok_or(Bad(400, "Req-Id is missing"))?;
@@ -236,6 +245,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        500 => "Internal Server Error",
         408 => "Request Timeout",
         409 => "Conflict",
         411 => "Length Required",
@@ -246,37 +256,54 @@
     }
 }
 
-/// An answer: its head, and its bytes, which are not copied.
-struct Answer {
-    head: String,
-    body: Vec<u8>,
+/// An answer. Its bytes are not copied.
+pub struct Answer {
+    status: u16,
+    /// Lines of its head.
+    extra: String,
+    pub body: Vec<u8>,
 }
 
-fn answer(status: u16, extra: &str, body: Vec<u8>, close: bool) -> Answer {
-    let mut head = format!("HTTP/1.1 {status} {}\r\n{extra}", reason(status));
-    if status != 304 {
-        head += &format!("Content-Length: {}\r\n", body.len());
+impl Answer {
+    pub fn new(status: u16, body: Vec<u8>) -> Answer {
+        Answer { status, extra: String::new(), body }
     }
-    if close {
-        head += "Connection: close\r\n";
+
+    pub fn head(&self, close: bool) -> String {
+        let mut head = format!("HTTP/1.1 {} {}\r\n{}", self.status, reason(self.status), self.extra);
+        if self.status != 304 {
+            head += &format!("Content-Length: {}\r\n", self.body.len());
+        }
+        if close {
+            head += "Connection: close\r\n";
+        }
+        head + "\r\n"
     }
-    head += "\r\n";
-    Answer { head, body }
 }
 
-fn refusal(backoff: Option<Micros>, close: bool) -> Answer {
+fn refusal(backoff: Option<Micros>) -> Answer {
     let seconds = backoff.unwrap_or(BACKOFF).div_ceil(1_000_000).max(1);
-    answer(503, &format!("Retry-After: {seconds}\r\n"), Vec::new(), close)
+    Answer { extra: format!("Retry-After: {seconds}\r\n"), ..Answer::new(503, Vec::new()) }
 }
 
-fn served(reply: Reply, close: bool) -> Answer {
-    let tag = reply.etag.map_or(String::new(), |tag| format!("ETag: \"{tag}\"\r\n"));
+fn served(reply: Reply) -> Answer {
+    let extra = reply.etag.map_or(String::new(), |tag| format!("ETag: \"{tag}\"\r\n"));
     match reply.end {
-        End::Ok(body) => answer(200, &tag, body, close),
-        _ => answer(304, &tag, Vec::new(), close),
+        End::Ok(body) => Answer { extra, ..Answer::new(200, body) },
+        _ => Answer { extra, ..Answer::new(304, Vec::new()) },
     }
 }
 
+/// How clients are sent away: for how long that has gone on, and after what time the connections that are
+/// idle, and those without a whole request, are closed. Until then each answer closes its connection, and so
+/// no request crosses with a close that need not.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    pub since: Duration,
+    pub idle: Duration,
+    pub asking: Duration,
+}
+
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum At {
@@ -341,9 +368,13 @@
     }
 
     /// Writes an answer. A client that takes none of it for long is closed by [`Clients::sweep`].
-    fn write(&self, answer: &Answer) -> io::Result<()> {
+    fn write(&self, answer: &Answer, close: bool) -> io::Result<()> {
+        self.send([answer.head(close).as_bytes(), &answer.body])
+    }
+
+    fn send(&self, parts: [&[u8]; 2]) -> io::Result<()> {
         self.is_at(At::Writing);
-        for mut bytes in [answer.head.as_bytes(), &answer.body] {
+        for mut bytes in parts {
             while !bytes.is_empty() {
                 match self.stream.inner().write(bytes) {
                     Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
@@ -434,11 +465,17 @@
         closed.is_some_and(|seat| seat.stream.shutdown(Shutdown::Both).is_ok())
     }
 
-    /// Ends what has lasted too long.
-    pub fn sweep(&self) {
+    /// Ends what has lasted too long, and connections without a request while the gateway sends its clients
+    /// away.
+    pub fn sweep(&self, leaving: Option<Leaving>) {
         let now = Instant::now();
+        let away = |seat: &Seat| match (seat.at, leaving) {
+            (At::Idle, Some(leaving)) => leaving.since > leaving.idle,
+            (At::Asking, Some(leaving)) => leaving.since > leaving.asking && now - seat.since > SILENT * 5,
+            _ => false,
+        };
         for seat in lock(&self.seats).values() {
-            if seat.at.longest().is_some_and(|longest| now - seat.since > longest) {
+            if seat.at.longest().is_some_and(|longest| now - seat.since > longest) || away(seat) {
                 // Who has sent part of a request is still told so; all others are done with.
                 let way = if seat.at == At::Asking { Shutdown::Read } else { Shutdown::Both };
                 let _ = seat.stream.shutdown(way);
@@ -496,7 +533,7 @@
         super::spawn(move || {
             let _place = place;
             let sitting = table.sit(stream, At::Writing);
-            let _ = sitting.write(&refusal(None, true)).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
+            let _ = sitting.write(&refusal(None), true).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
         });
     }
 }
@@ -508,14 +545,13 @@
         match parse(&buffer) {
             Ok(Parsed::Partial { expects }) => {
                 if expects && !std::mem::replace(&mut continued, true) {
-                    let word = Answer { head: "HTTP/1.1 100 Continue\r\n\r\n".into(), body: Vec::new() };
-                    sitting.write(&word)?;
+                    sitting.send([b"HTTP/1.1 100 Continue\r\n\r\n", &[]])?;
                     sitting.is_at(At::Asking);
                 }
                 let read = sitting.read(&mut piece)?;
                 if read == 0 {
                     if !buffer.is_empty() {
-                        sitting.write(&answer(408, "", Vec::new(), true))?;
+                        sitting.write(&Answer::new(408, Vec::new()), true)?;
                         sitting.end(&mut piece)?;
                     }
                     return Ok(());
@@ -528,19 +564,19 @@
             Ok(Parsed::Whole(taken)) => {
                 buffer.drain(..taken.used);
                 continued = false;
-                let close = !taken.keep_alive;
                 let _open = shared.taken();
                 sitting.is_at(At::Open);
-                let Some(answer) = respond(shared, sitting, taken.asked, close) else { return Ok(()) };
-                sitting.write(&answer)?;
+                let Some(answer) = respond(shared, sitting, taken.asked) else { return Ok(()) };
+                // Asked only now: the gateway may have begun to send its clients away meanwhile.
+                let close = !taken.keep_alive || shared.leaving().is_some();
+                sitting.write(&answer, close)?;
                 if close {
                     return sitting.end(&mut piece);
                 }
                 sitting.is_at(if buffer.is_empty() { At::Idle } else { At::Asking });
             }
-            Err(Bad(status, cause)) => {
-                log::debug!("client: {cause}");
-                sitting.write(&answer(status, "", cause.into(), true))?;
+            Err(bad) => {
+                sitting.write(&bad.answer(), true)?;
                 return sitting.end(&mut piece);
             }
         }
@@ -548,25 +584,25 @@
 }
 
 /// The answer to a request. `None`: the client has left.
-fn respond(shared: &Arc<Shared>, sitting: &Sitting, asked: Asked, close: bool) -> Option<Answer> {
+fn respond(shared: &Arc<Shared>, sitting: &Sitting, asked: Asked) -> Option<Answer> {
     let object = match asked {
-        Asked::Live => return Some(answer(200, "", b"live\n".into(), close)),
+        Asked::Live => return Some(Answer::new(200, b"live\n".into())),
         Asked::Object(object) => *object,
     };
     let class = shared.names.classes.get(&object.pull.class).copied();
     let Some(known) = class.and_then(|class| shared.settings.classes.get(class)) else {
-        return Some(answer(404, "", b"no such class\n".into(), close));
+        return Some(Answer::new(404, b"no such class\n".into()));
     };
     if object.write != known.uncacheable {
-        return Some(answer(405, "", b"PUT is for classes that write, GET for others\n".into(), close));
+        return Some(Answer::new(405, b"PUT is for classes that write, GET for others\n".into()));
     }
     // Without its key a repeat could not be told from a new request where it runs.
     if matches!(known.effect, Effect::Keyed { .. }) && object.pull.token.is_none() {
-        return Some(answer(400, "", b"Req-Token is missing\n".into(), close));
+        return Some(Answer::new(400, b"Req-Token is missing\n".into()));
     }
     // An id that is open is the broker's to turn away; here it may just have been answered.
     if sitting.clients.was_answered(object.id) {
-        return Some(answer(409, "", b"Req-Id has been used\n".into(), close));
+        return Some(Answer::new(409, b"Req-Id has been used\n".into()));
     }
     let request = Request {
         id: RequestId(object.id),
@@ -583,9 +619,9 @@
         sitting.clients.answered(object.id);
     }
     Some(match end {
-        Final::Served(reply) => served(reply, close),
-        Final::Refused(backoff) => refusal(backoff, close),
-        Final::Failed | Final::Checked(_) => answer(502, "", Vec::new(), close),
+        Final::Served(reply) => served(reply),
+        Final::Refused(backoff) => refusal(backoff),
+        Final::Failed | Final::Checked(_) => Answer::new(502, Vec::new()),
         Final::Gone => return None,
     })
 }
@@ -667,7 +703,7 @@
     #[case(Some(200_000), "1")]
     #[case(Some(1_200_000), "2")]
     fn a_refusal_tells_when_to_come_back(#[case] backoff: Option<Micros>, #[case] seconds: &str) {
-        let text = refusal(backoff, false).head;
+        let text = refusal(backoff).head(false);
         assert!(text.starts_with("HTTP/1.1 503 "));
         assert!(text.contains(&format!("Retry-After: {seconds}\r\n")));
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,12 @@
 //! The gateway's sockets, a module a concern. Each runs as may coroutines on one worker: none may block
 //! its thread, and no lock is held across I/O.
 
+pub mod admin;
 pub mod bus;
 pub mod clock;
 pub mod dns;
 pub mod gateway;
+pub mod handover;
 pub mod http;
 pub mod signal;
 pub mod store;
@@ -49,3 +51,12 @@
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
 }
+
+/// Does what it holds when it is dropped, also by a panic.
+struct Defer<F: FnMut()>(F);
+
+impl<F: FnMut()> Drop for Defer<F> {
+    fn drop(&mut self) {
+        (self.0)();
+    }
+}
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -26,6 +26,8 @@
 const LARGEST: usize = 240_000;
 /// Ended ids of which an answer may still be under way.
 const ENDED_KEPT: usize = 256;
+/// A store that has left the list is remembered for so long.
+const GONE_KEPT: Duration = Duration::from_secs(60);
 /// A store that takes no bytes for this long has its connection closed.
 const WRITE_STUCK: Duration = Duration::from_secs(2);
 /// Connections to one store, those included that take nothing new and wait for their last answers.
@@ -342,7 +344,7 @@
 struct Store<A> {
     name: String,
     at: Option<SocketAddr>,
-    gone: bool,
+    gone: Option<Instant>,
     conns: Vec<Arc<Conn<A>>>,
 }
 
@@ -402,8 +404,8 @@
     pub fn list(&self, id: MemberId, name: &str, at: Option<SocketAddr>, gone: bool) {
         let mut table = lock(&self.table);
         let store =
-            table.entry(id).or_insert_with(|| Store { name: name.into(), at, gone, conns: Vec::new() });
-        store.gone = gone;
+            table.entry(id).or_insert_with(|| Store { name: name.into(), at, gone: None, conns: Vec::new() });
+        store.gone = gone.then(|| store.gone.unwrap_or_else(Instant::now));
         if at.is_some() && store.at != at {
             store.at = at;
             store.conns.iter().for_each(|conn| lock(&conn.state).retired = true);
@@ -412,7 +414,13 @@
 
     /// All not named in a complete list are gone.
     pub fn all_gone(&self) {
-        lock(&self.table).values_mut().for_each(|store| store.gone = true);
+        let now = Instant::now();
+        lock(&self.table).values_mut().for_each(|store| store.gone = store.gone.or(Some(now)));
+    }
+
+    /// Whether a store of this name is listed, or was until lately: it may be on its way back.
+    pub fn knows(&self, name: &str) -> bool {
+        lock(&self.table).values().any(|store| store.name == name)
     }
 
     pub fn address(&self, id: MemberId) -> Option<SocketAddr> {
@@ -569,7 +577,7 @@
             for store in table.values_mut() {
                 for conn in &store.conns {
                     let mut state = lock(&conn.state);
-                    let over = state.retired || store.gone || now - state.used > self.limits.idle;
+                    let over = state.retired || store.gone.is_some() || now - state.used > self.limits.idle;
                     if over && state.pending.is_empty() {
                         state.retired = true;
                         close.push(conn.clone());
@@ -579,7 +587,8 @@
                     }
                 }
             }
-            table.retain(|_, store| !store.gone || !store.conns.is_empty());
+            let lately = |store: &Store<A>| store.gone.is_none_or(|at| now - at < GONE_KEPT);
+            table.retain(|_, store| lately(store) || !store.conns.is_empty());
         }
         for conn in close {
             let _ = conn.queue.send(Out::Close);
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -232,6 +232,40 @@
     start(bus, instances, 1024, |config| config.names.connections.streams = streams)
 }
 
+/// One that operators may call, with a folder for what lasts.
+pub fn gateway_for_operators(bus: &Bus, instances: &[Value], lasting: &Folder) -> Gateway {
+    start(bus, instances, 1024, |config| {
+        config.admin = Some((Ipv4Addr::LOCALHOST, 0).into());
+        config.lasting = Some(lasting.0.clone());
+    })
+}
+
+/// A folder that is gone with the test.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Default for Folder {
+    fn default() -> Self {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let name = format!("sagearch-test-{}-{}", std::process::id(), MADE.fetch_add(1, Ordering::SeqCst));
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        Folder(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// An operator's call, such as `POST /v1/gateway/drain`.
+pub fn call(at: SocketAddr, line: &str) -> u16 {
+    let answer = ask_text(at, &format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n")).expect("an answer");
+    assert!(answer.took < Duration::from_secs(1), "{:?}", answer.took);
+    answer.status
+}
+
 pub fn gateway_in_group(
     bus: &Bus,
     instances: &[Value],
