--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -586,6 +586,10 @@
 /// The answer to a request. `None`: the client has left.
 fn respond(shared: &Arc<Shared>, sitting: &Sitting, asked: Asked) -> Option<Answer> {
     let object = match asked {
+        // The front asks here whether it may send clients on.
+        Asked::Live if shared.broker().drained().is_some() => {
+            return Some(Answer::new(503, b"drained\n".into()));
+        }
         Asked::Live => return Some(Answer::new(200, b"live\n".into())),
         Asked::Object(object) => *object,
     };
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -88,6 +88,8 @@
     assert_eq!(call(admin, "POST /v1/gateway/drain"), 200);
     let since = Instant::now();
     assert_eq!(call(admin, "GET /v1/readyz"), 503);
+    let live = "GET /status/live HTTP/1.1\r\n\r\n";
+    assert_eq!(ask_text(at, live).unwrap().status, 503);
     let crossing = ask(at, SEGMENT, 3);
     assert_eq!((crossing.status, crossing.fields["connection"].as_str()), (200, "close"));
     let answer = read_answer(&slow, since).unwrap();
@@ -98,6 +100,7 @@
     assert!(since.elapsed() < Duration::from_millis(3_500), "{:?}", since.elapsed());
     assert_eq!(call(admin, "POST /v1/gateway/activate"), 200);
     assert_eq!(call(admin, "GET /v1/readyz"), 200);
+    assert_eq!(ask_text(at, live).unwrap().status, 200);
     assert_eq!(ask(at, SEGMENT, 4).fields.get("connection"), None);
 }
 
