--- a/src/brain.rs
+++ b/src/brain.rs
@@ -7,6 +7,7 @@
 
 use crate::hash::{self, mix};
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Counts are halved this often (design page: 10 s).
@@ -154,6 +155,7 @@
 }
 
 /// Smoothed times that answers took, and that they would take alone at full pace.
+#[derive(Clone, Serialize, Deserialize)]
 struct Pace {
     took: f64,
     alone: f64,
@@ -172,24 +174,12 @@
     }
 }
 
-/// The decisions of one gateway.
-#[derive(Default)]
-pub struct Router {
-    settings: Settings,
-    now: Micros,
-    random: u64,
-    peers: BTreeMap<MemberId, Peer>,
-    /// Members that operators have taken out by hand.
-    out: BTreeSet<MemberId>,
-    /// Serving members that may be asked: the own zone's caches, all parents, all origins.
-    usable: [Vec<MemberId>; 3],
+/// What a router has learned of objects, classes and sources. A process that takes over goes on from it.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Learned {
     counts: BTreeMap<u64, u32>,
-    halve_at: Option<Micros>,
-    open: BTreeMap<RequestId, Open>,
-    /// When objects (true, by hash) and groups (false) were last purged.
-    purges: BTreeMap<(bool, u64), Micros>,
     /// Mean sending time of each class in seconds, and requests seen.
-    mean_work: Vec<(f64, f64)>,
+    pub(crate) mean_work: Vec<(f64, f64)>,
     /// Share of requests of each rank that found no copy, and of uncacheable ones (0).
     misses: [f64; 4],
     /// What reports of caches, parents and origins said lately of their load.
@@ -205,6 +195,25 @@
     tells_origin: bool,
     /// Share of requests whose first answer did not come in time or at all.
     lost: f64,
+}
+
+/// The decisions of one gateway.
+#[derive(Default)]
+pub struct Router {
+    settings: Settings,
+    now: Micros,
+    random: u64,
+    processes: f64,
+    peers: BTreeMap<MemberId, Peer>,
+    /// Members that operators have taken out by hand.
+    out: BTreeSet<MemberId>,
+    /// Serving members that may be asked: the own zone's caches, all parents, all origins.
+    usable: [Vec<MemberId>; 3],
+    learned: Learned,
+    halve_at: Option<Micros>,
+    open: BTreeMap<RequestId, Open>,
+    /// When objects (true, by hash) and groups (false) were last purged.
+    purges: BTreeMap<(bool, u64), Micros>,
     retries: f64,
     /// Worth for each second of sending time of recent requests.
     worths: VecDeque<f64>,
@@ -217,10 +226,6 @@
     -weight.max(0.001) / hash::unit(mix(key ^ mix(u64::from(id.0)))).ln()
 }
 
-fn seconds(span: Micros) -> f64 {
-    span as f64 / 1e6
-}
-
 fn fade(passed: Micros, half: Micros) -> f64 {
     0.5_f64.powf(passed as f64 / half as f64)
 }
@@ -235,15 +240,26 @@
 impl Router {
     /// A router that knows nothing yet but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        Router {
-            mean_work: vec![(0.0, 0.0); settings.classes.len()],
-            settings,
-            random: seed,
-            misses: [1.0, 0.5, 0.25, 0.1],
-            fill_extra: 0.15,
-            retries: RETRY_SAVED / 2.0,
-            ..Router::default()
-        }
+        let mean_work = vec![(0.0, 0.0); settings.classes.len()];
+        let learned =
+            Learned { mean_work, misses: [1.0, 0.5, 0.25, 0.1], fill_extra: 0.15, ..Learned::default() };
+        let retries = RETRY_SAVED / 2.0;
+        Router { settings, random: seed, learned, retries, processes: 1.0, ..Router::default() }
+    }
+
+    pub fn learned(&self) -> &Learned {
+        &self.learned
+    }
+
+    /// Goes on from what another process has learned, under this one's classes.
+    pub fn take_over(&mut self, learned: Learned) {
+        self.learned = learned;
+        self.learned.mean_work.resize(self.settings.classes.len(), (0.0, 0.0));
+    }
+
+    /// Processes that are this gateway now: two of them share its part of a cold member's budget.
+    pub fn share(&mut self, processes: f64) {
+        self.processes = processes;
     }
 
     /// Members that are remembered.
@@ -261,7 +277,10 @@
             Event::Streaming { .. } => return,
             Event::Request(asked) => self.request(asked, actions),
             Event::Outcome { request, attempt, outcome, detail, elapsed, finished, load, .. } => {
-                let ended = self.end_attempt(request, attempt, outcome, detail, seconds(elapsed));
+                let end = |it: &mut Attempt| {
+                    (it.ended, it.detail, it.took) = (Some(outcome), detail, seconds(elapsed));
+                };
+                let ended = self.end_attempt(request, attempt, end);
                 if let Some(attempt) = &ended {
                     self.learn_load(attempt.member, load);
                     self.learn(request, attempt);
@@ -387,7 +406,7 @@
     /// that are out, and as many for each other gateway here: the only early sign of a full link.
     fn load(&self, id: MemberId) -> f64 {
         let peer = &self.peers[&id];
-        let usual = self.usual_load[peer.info.role as usize];
+        let usual = self.learned.usual_load[peer.info.role as usize];
         let Some((at, others)) = peer.others else {
             if peer.info.role != Role::Cache {
                 return usual;
@@ -429,7 +448,7 @@
             return true;
         }
         let rule = self.cold_rule(peer.info.role);
-        let share = peer.capacity * warmth / self.routers_of(peer.info.role);
+        let share = peer.capacity * warmth / (self.routers_of(peer.info.role) * self.processes);
         let rate = share * rule.multiple * COLD_HEADROOM;
         let most = rate * seconds(rule.window) / 2.0;
         let (chance, now) = (self.chance(), self.now);
@@ -449,17 +468,17 @@
         let due = *self.halve_at.get_or_insert(self.now + HALVE_EVERY);
         if self.now >= due {
             self.halve_at = Some(self.now + HALVE_EVERY);
-            self.counts.values_mut().for_each(|count| *count /= 2);
-            self.counts.retain(|_, count| *count > 0);
+            self.learned.counts.values_mut().for_each(|count| *count /= 2);
+            self.learned.counts.retain(|_, count| *count > 0);
         }
     }
 
     fn count(&mut self, key: u64) -> u8 {
-        if self.counts.len() >= COUNTS_KEPT && !self.counts.contains_key(&key) {
-            let least = self.counts.values().copied().min().unwrap_or(0);
-            self.counts.retain(|_, count| *count > least);
+        if self.learned.counts.len() >= COUNTS_KEPT && !self.learned.counts.contains_key(&key) {
+            let least = self.learned.counts.values().copied().min().unwrap_or(0);
+            self.learned.counts.retain(|_, count| *count > least);
         }
-        let count = self.counts.entry(key).or_insert(0);
+        let count = self.learned.counts.entry(key).or_insert(0);
         *count += 1;
         1 + u8::from(*count >= MIDDLE_RANK_FROM) + u8::from(*count >= TOP_RANK_FROM)
     }
@@ -497,7 +516,7 @@
         let rank = if uncacheable { 0 } else { self.count(key) };
         let pace = self.settings.pace_kb_per_s;
         let sized = if pace > 0.0 { asked.size_kb / pace } else { 0.0 };
-        let (mean, seen) = &mut self.mean_work[class];
+        let (mean, seen) = &mut self.learned.mean_work[class];
         // A look-up by name tells no size: it stands for the mean of its class and teaches nothing.
         let work = if asked.by_name { *mean } else { sized };
         if !asked.by_name {
@@ -509,10 +528,8 @@
         let open = Open { asked, class, key, object, rank, work, deadline, ..Open::default() };
         if !uncacheable && !open.asked.by_name {
             let worth = self.worth_for_work(&open);
-            self.worths.push_back(worth);
-            if self.worths.len() > WORTHS_KEPT {
-                self.worths.pop_front();
-            }
+            self.worths.truncate(WORTHS_KEPT - 1);
+            self.worths.push_front(worth);
         }
         self.open.insert(id, open);
         let spare = self.settings.tick * TICKS_SPARE;
@@ -545,7 +562,7 @@
     fn ask_twice(&mut self, id: RequestId, actions: Actions) {
         let open = &self.open[&id];
         let out = open.attempts.iter().filter(|attempt| attempt.ended.is_none()).count();
-        if out != 1 || self.lost < SECOND_FROM || self.retries < 1.0 || !self.may_send_again(open) {
+        if out != 1 || self.learned.lost < SECOND_FROM || self.retries < 1.0 || !self.may_send_again(open) {
             return;
         }
         let Some(cache) = self.pick_cache(id) else { return };
@@ -660,7 +677,7 @@
         };
         let open = &self.open[&id];
         // What sources held cannot come later than all: else its memory would outlast the trouble.
-        let [all, of_held] = self.fill_wait;
+        let [all, of_held] = self.learned.fill_wait;
         let (fetches, fills) = (held_back(all), held_back(all.min(of_held)));
         let slow = fetches > 0.0;
         if slow && open.attempts.is_empty() {
@@ -678,7 +695,7 @@
     /// Worth for each second that the request is likely to hold a place at the cache: its sending time,
     /// and the wait for its fill if it misses. When sources are slow, likely misses weigh little.
     fn worth_for_work(&self, open: &Open) -> f64 {
-        let wait = HIT_OVERHEAD + self.fill_extra * self.misses[usize::from(open.rank)];
+        let wait = HIT_OVERHEAD + self.learned.fill_extra * self.learned.misses[usize::from(open.rank)];
         self.settings.classes[open.class].worth / (open.work + wait)
     }
 
@@ -698,9 +715,9 @@
     /// How many times longer than alone a transfer takes at a cache of this load: by the part of what it
     /// holds that is sending and not waiting for fills, and by the pace of hits where that shows more.
     fn pressure(&self, load: f64) -> f64 {
-        let usual = self.usual_load[Role::Cache as usize].max(0.1);
-        let stretch = self.hits.took / self.hits.alone;
-        let sending = usual * (self.served.alone * stretch / self.served.took).min(1.0);
+        let usual = self.learned.usual_load[Role::Cache as usize].max(0.1);
+        let stretch = self.learned.hits.took / self.learned.hits.alone;
+        let sending = usual * (self.learned.served.alone * stretch / self.learned.served.took).min(1.0);
         // Hits at pace tell that the usual cache is not full, where its size is but a guess.
         let known = if self.settings.weights_told { sending } else { sending.min(1.0) };
         load / usual * if stretch > STRETCH_SEEN { sending.max(stretch) } else { known }
@@ -725,7 +742,7 @@
     /// than its peers. A hot object moves on sooner: the paper keeps hot objects at several nodes.
     fn pick_cache(&mut self, id: RequestId) -> Option<MemberId> {
         let open = &self.open[&id];
-        let (rank, work) = (open.rank, self.mean_work[open.class].0);
+        let (rank, work) = (open.rank, self.learned.mean_work[open.class].0);
         // A cache that has answered others since an attempt timed out there is well: the answer was lost or
         // its fill is slow, and asked again it has the copy or lets the request join the fill.
         let slow = |it: &Attempt| {
@@ -742,7 +759,7 @@
         let mut caches = self.without_ejected(self.ordered(Role::Cache, open.key));
         caches.retain(|id| !bad(id));
         caches.retain(|id| self.spend_cold(*id, work, false));
-        let peers = self.usual_load[Role::Cache as usize] * SPILL_OVER_PEERS;
+        let peers = self.learned.usual_load[Role::Cache as usize] * SPILL_OVER_PEERS;
         let bound = if rank == 3 { HOT_SPILL } else { HOT_SPILL.max(peers) };
         caches.iter().find(|id| self.load(**id) < bound).or(caches.first()).copied()
     }
@@ -750,7 +767,7 @@
     /// The first parent in hash order, over all parents; with none that will do, the origin fills.
     fn pick_source(&mut self, id: RequestId) -> Option<MemberId> {
         let open = &self.open[&id];
-        let (key, work, bad) = (open.key, self.mean_work[open.class].0, open.bad_sources.clone());
+        let (key, work, bad) = (open.key, self.learned.mean_work[open.class].0, open.bad_sources.clone());
         let mut parents = self.without_ejected(self.ordered(Role::Parent, key));
         parents.retain(|id| !bad.contains(id));
         parents.retain(|id| self.spend_cold(*id, work, false));
@@ -765,12 +782,12 @@
 
     fn send(&mut self, id: RequestId, member: MemberId, fill: Option<Fill>, actions: Actions) {
         let open = &self.open[&id];
-        let (mean, now) = (self.mean_work[open.class].0, self.now);
+        let (mean, now) = (self.learned.mean_work[open.class].0, self.now);
         let straight = self.role(member) == Role::Parent;
         let source = fill.and_then(|fill| fill.source);
         let looked = source.is_none_or(|source| source == member) || fill.is_some_and(|fill| fill.held_only);
         let known = straight || open.attempts.last().is_some_and(Attempt::found_nothing);
-        let likely = if known { 1.0 } else { self.misses[usize::from(open.rank)] };
+        let likely = if known { 1.0 } else { self.learned.misses[usize::from(open.rank)] };
         let (timeout, again_at) = (self.timeout(open), self.last_in_time(open));
         self.spend_cold(member, mean, true);
         let mut charged = 0.0;
@@ -782,7 +799,7 @@
         let (load, role) = (self.load(member), self.role(member) as usize);
         let peer = self.peers.get_mut(&member).expect("listed");
         if peer.others.is_none() && peer.info.role == Role::Cache {
-            self.usual_load[role] += (load - self.usual_load[role]) * LEARN / 2.0;
+            self.learned.usual_load[role] += (load - self.learned.usual_load[role]) * LEARN / 2.0;
         }
         peer.inflight += 1;
         // After a time out a member gets one request on trial, and no more until that has ended.
@@ -808,7 +825,7 @@
     fn last_in_time(&self, open: &Open) -> Option<Micros> {
         let class = &self.settings.classes[open.class];
         let repeatable = class.effect == Effect::Repeatable && !class.uncacheable;
-        let stretch = self.hits.took / self.hits.alone;
+        let stretch = self.learned.hits.took / self.learned.hits.alone;
         let spared = self.spared(open) + (1.0 - stretch) * open.work - HIT_OVERHEAD;
         let allowed = self.settings.second_copies && repeatable && open.attempts.is_empty() && spared > 0.0;
         allowed.then_some(self.now + (spared * 1e6) as Micros)
@@ -818,25 +835,17 @@
     fn timeout(&self, open: &Open) -> Micros {
         let left = (open.deadline - self.now).saturating_sub(self.settings.tick * (TICKS_SPARE + 1)).max(1);
         // A check takes no sending and no fill: a silent member must leave time to ask the next.
-        let usual = if open.asked.by_name { 0.0 } else { open.work + self.fill_extra };
+        let usual = if open.asked.by_name { 0.0 } else { open.work + self.learned.fill_extra };
         let patience = (usual * PATIENCE * 1e6) as Micros + PATIENCE_FLOOR;
         let again = (usual * 1e6) as Micros;
         if patience + again < left { patience } else { left }
     }
 
-    fn end_attempt(
-        &mut self,
-        id: RequestId,
-        nr: u32,
-        how: Outcome,
-        detail: Detail,
-        took: f64,
-    ) -> Option<Attempt> {
-        let attempt = self.open.get_mut(&id)?.attempts.get_mut(nr as usize)?;
-        if attempt.ended.is_some() {
-            return None;
-        }
-        (attempt.ended, attempt.detail, attempt.took) = (Some(how), detail, took);
+    /// Notes the end of an attempt that is out, and returns it.
+    fn end_attempt(&mut self, id: RequestId, nr: u32, end: impl FnOnce(&mut Attempt)) -> Option<Attempt> {
+        let attempts = &mut self.open.get_mut(&id)?.attempts;
+        let attempt = attempts.get_mut(nr as usize).filter(|attempt| attempt.ended.is_none())?;
+        end(attempt);
         let peer = self.peers.get_mut(&attempt.member)?;
         peer.inflight = peer.inflight.saturating_sub(1);
         Some(attempt.clone())
@@ -869,7 +878,7 @@
         let now = self.now;
         let (Some(peer), Some(held)) = (self.peers.get_mut(&member), load.inflight) else { return };
         peer.others = Some((now, (held - f64::from(peer.inflight + 1)).max(0.0)));
-        let usual = &mut self.usual_load[peer.info.role as usize];
+        let usual = &mut self.learned.usual_load[peer.info.role as usize];
         *usual += (held / peer.capacity.max(0.05) - *usual) * LEARN;
     }
 
@@ -882,7 +891,7 @@
         if late || attempt.ended == Some(Outcome::Served) {
             let first = open.attempts.iter().any(|other| other.ended.is_none() && other.sent < attempt.sent);
             let missing = late || (first && !filled);
-            self.lost += (f64::from(u8::from(missing)) - self.lost) * LEARN / 2.0;
+            self.learned.lost += (f64::from(u8::from(missing)) - self.learned.lost) * LEARN / 2.0;
         }
         let failed = attempt.source.is_some() && (late || attempt.ended == Some(Outcome::Full));
         if !filled && !failed {
@@ -891,10 +900,10 @@
         let weight = if late { attempt.likely * attempt.likely } else { 1.0 };
         let waited = attempt.took - open.work;
         let ratio = if failed { FAILED_WAIT } else { (waited / self.spared(open)).min(FAILED_WAIT) };
-        self.tells_origin |= attempt.detail == Detail::FilledByOrigin;
-        let held = attempt.looked || (self.tells_origin && attempt.detail == Detail::Filled);
+        self.learned.tells_origin |= attempt.detail == Detail::FilledByOrigin;
+        let held = attempt.looked || (self.learned.tells_origin && attempt.detail == Detail::Filled);
         for of in 0..1 + usize::from(held) {
-            self.fill_wait[of] += (ratio - self.fill_wait[of]) * LEARN / 2.0 * weight;
+            self.learned.fill_wait[of] += (ratio - self.learned.fill_wait[of]) * LEARN / 2.0 * weight;
         }
         let Some(source) = attempt.source.filter(|_| attempt.ended != Some(Outcome::Full)) else { return };
         let (now, before) = (self.now, self.wait(source));
@@ -906,13 +915,14 @@
 
     fn learn_pace(&mut self, id: RequestId, attempt: &Attempt) {
         let (work, rank, hit) = (self.open[&id].work, self.open[&id].rank, attempt.detail.hit());
-        self.served.learn(attempt.took, work);
-        let share = &mut self.misses[usize::from(rank)];
+        self.learned.served.learn(attempt.took, work);
+        let share = &mut self.learned.misses[usize::from(rank)];
         *share += (f64::from(u8::from(!hit)) - *share) * LEARN / 4.0;
         if !hit {
-            self.fill_extra += ((attempt.took - work).clamp(0.0, 3.0) - self.fill_extra) * LEARN;
+            self.learned.fill_extra +=
+                ((attempt.took - work).clamp(0.0, 3.0) - self.learned.fill_extra) * LEARN;
         } else if self.role(attempt.member) == Role::Cache {
-            self.hits.learn(attempt.took, work);
+            self.learned.hits.learn(attempt.took, work);
         }
     }
 
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -6,8 +6,8 @@
 //! deadline is near) goes to the request's [`Waiter`]. Nothing here does I/O or reads a clock: both
 //! fronts and the tests pass the time in, in microseconds of a monotonic clock.
 
-use crate::Router;
 use crate::interface::*;
+use crate::{Learned, Router};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 
@@ -132,6 +132,21 @@
         self.drained = drained.then(|| self.drained.unwrap_or(now));
     }
 
+    /// What the module has learned, for a process that takes over; and the ids that are open.
+    pub fn memory(&self) -> (Learned, Vec<RequestId>) {
+        (self.router.learned().clone(), self.open.keys().copied().collect())
+    }
+
+    /// Goes on from what the process before has learned.
+    pub fn take_over(&mut self, learned: Learned) {
+        self.router.take_over(learned);
+    }
+
+    /// Processes that are this gateway now.
+    pub fn share(&mut self, processes: u8) {
+        self.router.share(f64::from(processes));
+    }
+
     /// Since when the gateway is being emptied.
     pub fn drained(&self) -> Option<Micros> {
         self.drained
--- a/src/config.rs
+++ b/src/config.rs
@@ -52,6 +52,8 @@
     pub sockets: usize,
     /// Where operators call, if anywhere.
     pub admin: Option<SocketAddr>,
+    /// The descriptor at which the clients' listening socket is inherited, where the platform holds it.
+    pub socket: Option<i32>,
     /// The folder of what outlives this process: `$TMPDIR`, where that is set.
     pub lasting: Option<PathBuf>,
     pub bus: SocketAddr,
@@ -202,6 +204,7 @@
         memory_mb: at_least("limits.memory_mb", file.limits.memory_mb.unwrap_or(MEMORY_MB), MEMORY_MB_LEAST)?,
         sockets: at_least("limits.sockets", file.limits.sockets.unwrap_or(SOCKETS), SOCKETS_LEAST)?,
         admin: file.admin.as_deref().map(|at| address("admin", Some(at))).transpose()?,
+        socket: None,
         lasting: None,
         bus: address("bus", file.bus.as_deref())?,
         known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
@@ -303,6 +306,10 @@
     if let Some(at) = var("NODE_ADMIN") {
         config.admin = Some(address("NODE_ADMIN", Some(&at))?);
     }
+    if let Some(text) = var("NODE_SOCKET_FD") {
+        let bad = || fault("NODE_SOCKET_FD", format!("{text:?} is no descriptor from 3"));
+        config.socket = Some(text.parse().ok().filter(|fd| *fd >= 3).ok_or_else(bad)?);
+    }
     config.lasting = var("TMPDIR").map(Into::into);
     if let Some(text) = optional("dns", dns)? {
         config.dns = decode_dns(&text, &config.names)?;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,6 +5,10 @@
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 
+pub fn seconds(span: Micros) -> f64 {
+    span as f64 / 1e6
+}
+
 /// A cache, parent or origin process, as discovery names it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MemberId(pub u32);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,4 +56,4 @@
 #[doc(hidden)]
 pub mod wire;
 
-pub use brain::Router;
+pub use brain::{Learned, Router};
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -210,6 +210,15 @@
 pub struct Feed {
     last: Mutex<u64>,
     follower: AtomicU64,
+    /// A poll has been answered.
+    answered: AtomicBool,
+}
+
+impl Feed {
+    /// Whether the bus has told what it had to tell at the start.
+    pub fn caught_up(&self) -> bool {
+        self.answered.load(Ordering::SeqCst)
+    }
 }
 
 /// Takes in what is new of a batch. Held throughout: two followers that overlap must not take an event twice,
@@ -241,7 +250,9 @@
                 Some(line) => line,
                 None => (connect(at)?, Vec::new()),
             };
-            let ask = format!("GET /bus/read?from={last}&hold={HOLD_MS} HTTP/1.1\r\nHost: {at}\r\n\r\n");
+            // The first word is wanted at once, also where it is that there is nothing new.
+            let hold = if shared.feed.caught_up() { HOLD_MS } else { 0 };
+            let ask = format!("GET /bus/read?from={last}&hold={hold} HTTP/1.1\r\nHost: {at}\r\n\r\n");
             stream.write_all(ask.as_bytes())?;
             let (body, keep) = answer(&mut stream, &mut buffer)?;
             if keep {
@@ -255,6 +266,7 @@
                     log::info!("event bus: connected again");
                 }
                 take(shared, batch);
+                shared.feed.answered.store(true, Ordering::SeqCst);
             }
             Err(e) => {
                 // Once a trouble, not once a try; and one that refuses at once is not asked in a busy loop.
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -6,7 +6,7 @@
 use super::handover::{self, Intents};
 use super::http::Leaving;
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
-use super::{Place, admin, dns, http, lock};
+use super::{Place, admin, dns, http, link, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use crate::config::{Config, Routes, decode_routes};
 use crate::consensus::Instance;
@@ -18,7 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 /// The module's timers run this often; it keeps twice its tick of 2 ms in hand before each deadline.
@@ -30,11 +30,23 @@
 /// another one: from afar it would arrive behind that, and two attempts would be out at once.
 const SETTLES: Duration = Duration::from_millis(10);
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
-const LINGER: Duration = Duration::from_millis(1_000);
+const LINGER: Micros = 1_000_000;
+/// One that hands over accepts nothing any more, and may be about to seat what it accepted last.
+const LINGER_HANDED_OVER: Micros = 100_000;
 /// A drained gateway closes what is idle after this, and what has not asked for anything after that: 4 s
 /// after the drain's begin no client may hold a connection with a request of the 2 s before.
 const DRAINED_IDLE: Duration = Duration::from_millis(1_000);
 const DRAINED_ASKING: Duration = Duration::from_millis(1_700);
+/// After SIGTERM the process is ended once the longest wait is over, counted as 3 s at least, and 0.7 s more.
+const STAY_LEAST: Micros = 3_000_000;
+const STAY_ON_TOP: Micros = 700_000;
+const STAY_SPARE: Micros = 200_000;
+/// Clients close idle connections after 4 s: one that hands over waits for that, so that no request crosses
+/// with a close, as far as there is time for a last request.
+const HANDED_OVER_IDLE: Duration = Duration::from_millis(4_200);
+const LAST_REQUEST: Micros = 1_500_000;
+/// A new process has caught up with the bus by its first answer, or after this if that is silent.
+const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(1_500);
 /// Memory that is kept out of the reckoning of answers, and what one answer may take of the rest: an object
 /// of 240,000 bytes, its request's buffers and its coroutine's stack.
 const MEMORY_OWN_MB: usize = 8;
@@ -92,7 +104,8 @@
     pub names: Names,
     pub settings: Settings,
     broker: Arc<Mutex<Broker<Mailbox>>>,
-    stores: Arc<Stores<Mailbox>>,
+    pub(super) stores: Arc<Stores<Mailbox>>,
+    pub(super) clients: Arc<http::Clients>,
     /// Requests whose clients wait. Their ids come from outside and may repeat, so they have a number.
     watched: Mutex<HashMap<u64, Mailbox>>,
     watches: AtomicU64,
@@ -104,7 +117,13 @@
     pub(super) intents: Mutex<Intents>,
     /// Lists are applied, what lasts is read, and clients are listened for.
     ready: AtomicBool,
-    stopping: AtomicBool,
+    /// The process has been told to stop, at that time.
+    stopping: OnceLock<Micros>,
+    /// Another process accepts at the same socket, or will.
+    socket_shared: bool,
+    /// Another process of this gateway is there, and these ids it is still to be told of.
+    pub(super) beside: AtomicBool,
+    pub(super) fresh: Mutex<Vec<u64>>,
     open: Arc<AtomicUsize>,
 }
 
@@ -128,7 +147,7 @@
 
     /// Why this process does not take clients now; `None`: it does.
     pub fn not_ready(&self) -> Option<&'static str> {
-        if self.stopping.load(Ordering::SeqCst) {
+        if self.stopping.get().is_some() {
             return Some("stopping");
         }
         if !self.ready.load(Ordering::SeqCst) {
@@ -137,10 +156,39 @@
         self.broker().drained().map(|_| "drained")
     }
 
+    /// Whether new connections are another process's: this one has been told to stop, and the listening socket
+    /// goes on without it.
+    pub fn handed_over(&self) -> bool {
+        self.socket_shared && self.stopping.get().is_some()
+    }
+
+    /// How long after it was told to stop the process is sure to be there.
+    fn stay(&self) -> Micros {
+        self.names.longest_wait.max(STAY_LEAST) + STAY_ON_TOP
+    }
+
+    /// The time that a request may take. `MAX`: whatever its client says.
+    pub fn time_left(&self) -> Micros {
+        let Some(since) = self.stopping.get().filter(|_| self.socket_shared) else { return Micros::MAX };
+        (since + self.stay()).saturating_sub(self.clock.now() + STAY_SPARE)
+    }
+
+    /// An id has come into use: the other process of this gateway is to know.
+    pub fn used(&self, id: u64) {
+        if self.beside.load(Ordering::Relaxed) {
+            lock(&self.fresh).push(id);
+        }
+    }
+
     /// Whether clients are being sent away.
     pub fn leaving(&self) -> Option<Leaving> {
-        let since = self.clock.now() - self.broker().drained()?;
-        Some(Leaving { since: Duration::from_micros(since), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
+        let since = |at: Micros| Duration::from_micros(self.clock.now().saturating_sub(at));
+        if let Some(at) = self.stopping.get().filter(|_| self.socket_shared) {
+            let idle = HANDED_OVER_IDLE.min(Duration::from_micros(self.stay() - LAST_REQUEST));
+            return Some(Leaving { since: since(*at), idle, asking: idle });
+        }
+        let at = self.broker().drained()?;
+        Some(Leaving { since: since(at), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
     }
 
     /// Whether operators may name this store.
@@ -324,6 +372,7 @@
             dns,
             raft,
             admin,
+            socket,
             lasting,
         } = config;
         let clock = Clock::default();
@@ -339,12 +388,15 @@
             // Well before the store closes it: a request must not cross with that.
             idle: Duration::from_micros(told.keepalive) * 2 / 3,
         };
+        let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
+        let clients = Arc::new(http::Clients::new(most, (sockets / 16).max(2)));
         let shared = Arc::new(Shared {
             clock,
             names,
             settings,
             broker,
             stores: Stores::new(limits, gate),
+            clients: clients.clone(),
             watched: Mutex::default(),
             watches: AtomicU64::new(0),
             listed: AtomicBool::new(false),
@@ -352,7 +404,10 @@
             routes: Mutex::default(),
             intents: Mutex::default(),
             ready: AtomicBool::new(false),
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
+            socket_shared: socket.is_some(),
+            beside: AtomicBool::new(false),
+            fresh: Mutex::default(),
             open: Arc::default(),
         });
         bus::take(&shared, known);
@@ -363,7 +418,10 @@
             let asked = shared.clone();
             super::spawn(move || admin::listen(&asked, &admin, keeper));
         }
-        let listener = TcpListener::bind(listen)?;
+        let listener = match socket {
+            Some(socket) => handover::inherit(socket, listen)?,
+            None => TcpListener::bind(listen)?,
+        };
         let listen = listener.local_addr()?;
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
         let raft = raft.map(|raft| {
@@ -381,12 +439,22 @@
             })
         });
         let raft = raft.transpose()?;
-        let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
-        let serving = shared.clone();
-        let clients = Arc::new(http::Clients::new(most, (sockets / 16).max(2)));
-        let seated = clients.clone();
-        super::spawn(move || http::listen(&serving, &listener, &clients));
+        if let Some(folder) = &lasting
+            && let Err(e) = link::start(&shared, folder, &name)
+        {
+            log::warn!("link: {e}; going on without it");
+        }
         bus::follow(&shared, bus);
+        let (serving, seated) = (shared.clone(), clients.clone());
+        super::spawn(move || {
+            // Where another process accepts already, there is no hurry: this one does once it is up to date.
+            let began = Instant::now();
+            while serving.socket_shared && !serving.feed.caught_up() && began.elapsed() < CAUGHT_UP_WITHIN {
+                may::coroutine::sleep(TICK);
+            }
+            serving.ready.store(true, Ordering::SeqCst);
+            http::listen(&serving, &listener, &clients);
+        });
         let timed = shared.clone();
         super::spawn(move || {
             for round in 0_u32.. {
@@ -401,7 +469,6 @@
                 }
             }
         });
-        shared.ready.store(true, Ordering::SeqCst);
         log::info!("{name} serves at {listen}");
         Ok(Gateway { shared, listen, admin: operators, dns, raft })
     }
@@ -414,15 +481,17 @@
     }
 
     /// Returns once the flag has been set, requests have had time to come to an end, and all taken ones
-    /// are answered. Runs on the caller's own thread.
+    /// are answered. Where another process takes over, no new ones come, and it returns once all clients have
+    /// left. Runs on the caller's own thread.
     pub fn finish(&self, stop: &AtomicBool) {
-        let mut since: Option<Instant> = None;
         loop {
-            std::thread::sleep(Duration::from_millis(20));
+            std::thread::sleep(Duration::from_millis(5));
             if stop.load(Ordering::SeqCst) {
-                self.shared.stopping.store(true, Ordering::SeqCst);
-                let since = *since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= LINGER && self.shared.open.load(Ordering::SeqCst) == 0 {
+                let shared = &self.shared;
+                let since = shared.clock.now() - *shared.stopping.get_or_init(|| shared.clock.now());
+                let idle = shared.open.load(Ordering::SeqCst) == 0;
+                let linger = if shared.socket_shared { LINGER_HANDED_OVER } else { LINGER };
+                if since >= linger && idle && !(shared.socket_shared && shared.clients.any()) {
                     return;
                 }
             }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -1,15 +1,20 @@
-//! What outlives a process: the operators' intents, in a file under `$TMPDIR`. Two processes of one gateway
+//! What outlives a process: the clients' listening socket, where the platform holds it, and the operators'
+//! intents, in a file under `$TMPDIR`. Two processes of one gateway
 //! may run side by side for a while, so the file is the one truth: each amends it under a lock, and each
 //! looks at it again and again.
 
 use super::bus::member_id;
 use super::gateway::Shared;
 use super::lock;
+use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{self, File};
 use std::io;
+use std::mem::ManuallyDrop;
+use std::net::SocketAddr;
+use std::os::fd::{FromRawFd, IntoRawFd, RawFd};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
@@ -63,6 +68,26 @@
     }
 }
 
+/// The clients' listening socket that the platform holds and every process inherits. It is shared: nobody may
+/// shut it down.
+pub fn inherit(socket: RawFd, listen: SocketAddr) -> io::Result<TcpListener> {
+    // SAFETY: the platform has opened the descriptor for this process, which uses it nowhere else; it is only
+    // looked at here, and not closed.
+    let held = ManuallyDrop::new(unsafe { std::net::TcpListener::from_raw_fd(socket) });
+    let at = held.local_addr()?;
+    if at != listen {
+        log::warn!("descriptor {socket} listens on {at}, not on {listen}");
+    }
+    // SAFETY: as above; it is a socket, and from here on the listener's.
+    Ok(unsafe { TcpListener::from_raw_fd(socket) })
+}
+
+/// An accepted connection, for coroutines.
+pub fn stream(stream: std::net::TcpStream) -> TcpStream {
+    // SAFETY: the descriptor was just accepted and has no other owner.
+    unsafe { TcpStream::from_raw_fd(stream.into_raw_fd()) }
+}
+
 struct Ask {
     intent: Intent,
     done: mpsc::Sender<io::Result<()>>,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -341,6 +341,8 @@
     seats: Mutex<BTreeMap<u64, Seat>>,
     next: AtomicU64,
     most: usize,
+    /// Clients of the other process of this gateway, during an upgrade.
+    elsewhere: AtomicUsize,
     /// Clients that are told of the full table.
     lobby: Arc<AtomicUsize>,
     lobby_most: usize,
@@ -433,6 +435,7 @@
             seats: Mutex::default(),
             next: AtomicU64::new(0),
             most,
+            elsewhere: AtomicUsize::new(0),
             lobby: Arc::default(),
             lobby_most,
             answered: Mutex::default(),
@@ -446,10 +449,24 @@
         Sitting { clients: self, number, stream }
     }
 
+    /// Clients that are connected here; those elsewhere come off the same budget.
+    pub fn beside(&self, elsewhere: usize) -> usize {
+        self.elsewhere.store(elsewhere, Ordering::SeqCst);
+        lock(&self.seats).len()
+    }
+
+    pub fn any(&self) -> bool {
+        !lock(&self.seats).is_empty()
+    }
+
+    fn most(&self) -> usize {
+        super::left_of(self.most, self.elsewhere.load(Ordering::SeqCst))
+    }
+
     /// Room for one more: free already, or made by closing a connection that nobody waits on.
     fn room(&self) -> bool {
         let mut seats = lock(&self.seats);
-        if seats.len() < self.most {
+        if seats.len() < self.most() {
             return true;
         }
         let now = Instant::now();
@@ -488,7 +505,13 @@
         lock(&self.answered).0.contains(&id)
     }
 
-    fn answered(&self, id: u64) {
+    /// Ids that have been answered.
+    pub fn answered_ids(&self) -> Vec<u64> {
+        lock(&self.answered).1.iter().copied().collect()
+    }
+
+    /// An id has been used.
+    pub fn answered(&self, id: u64) {
         let (known, order) = &mut *lock(&self.answered);
         if known.insert(id) {
             order.push_back(id);
@@ -499,12 +522,18 @@
     }
 }
 
-/// Accepts clients for ever. A full table refuses, and never dies.
+/// Accepts clients, until another process takes over what comes. A full table refuses, and never dies.
 pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, clients: &Arc<Clients>) {
     let mut told: Option<Instant> = None;
-    loop {
-        let stream = match listener.accept() {
-            Ok((stream, _)) => Arc::new(stream),
+    while !shared.handed_over() {
+        // Another process may accept at the same socket: one that it took must not leave this one waiting in
+        // `accept`, to take a later one when it should no longer.
+        let stream = match listener.inner().accept() {
+            Ok((stream, _)) => Arc::new(super::handover::stream(stream)),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                listener.wait_io();
+                continue;
+            }
             Err(e) => {
                 // No descriptors are left, or a client was gone before it was accepted.
                 log::warn!("accept: {e}");
@@ -519,7 +548,7 @@
                     log::debug!("client: {e}");
                 }
             });
-            if lock(&clients.seats).len() + 1 >= clients.most {
+            if lock(&clients.seats).len() + 1 >= clients.most() {
                 // The one that made way must get to give its descriptor back.
                 may::coroutine::sleep(MOMENT);
             }
@@ -527,7 +556,7 @@
         }
         if told.is_none_or(|told| told.elapsed() > IDLE) {
             told = Some(Instant::now());
-            log::warn!("{} clients have requests open: more are refused", clients.most);
+            log::warn!("{} clients have requests open: more are refused", clients.most());
         }
         let Some(place) = super::Place::take(&clients.lobby, clients.lobby_most) else { continue };
         super::spawn(move || {
@@ -604,6 +633,7 @@
     if matches!(known.effect, Effect::Keyed { .. }) && object.pull.token.is_none() {
         return Some(Answer::new(400, b"Req-Token is missing\n".into()));
     }
+    shared.used(object.id);
     // An id that is open is the broker's to turn away; here it may just have been answered.
     if sitting.clients.was_answered(object.id) {
         return Some(Answer::new(409, b"Req-Id has been used\n".into()));
@@ -611,7 +641,8 @@
     let request = Request {
         id: RequestId(object.id),
         class,
-        budget: object.wait,
+        // What comes late to a process that is about to be ended gets what time is left.
+        budget: object.wait.min(shared.time_left()),
         size_kb: object.size_kb,
         object: object.pull.object.clone(),
         part: object.part,
--- /dev/null
+++ b/src/net/link.rs
@@ -0,0 +1,214 @@
+//! The link between the two processes of one gateway, while an upgrade is under way: a Unix socket in
+//! `$TMPDIR`, lines of JSON, on a thread of its own.
+//!
+//! The new process calls the old one and is told what that has learned and which ids it has open or answered.
+//! From then on both tell each other their new ids and what they hold, until one of them is gone.
+
+use super::gateway::Shared;
+use super::handover::file_in;
+use super::lock;
+use crate::Learned;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::os::fd::AsRawFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// How often each tells the other, and how long a silence may last.
+const TELL_EVERY: Duration = Duration::from_millis(25);
+const SILENT: Duration = Duration::from_secs(2);
+/// How long a new process waits to be told what the old one knows: it has 6 s to get ready.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+/// The longest line: 30,000 counts and all ids fit well.
+const LONGEST: u64 = 4 * 1024 * 1024;
+
+/// What a new process is told first.
+#[derive(Serialize, Deserialize)]
+struct Handover {
+    /// The places of classes in what was learned.
+    classes: BTreeMap<String, usize>,
+    learned: Learned,
+    /// Ids that are open or answered.
+    used: Vec<u64>,
+}
+
+/// What each tells the other all the time.
+#[derive(Default, Serialize, Deserialize)]
+struct Status {
+    clients: usize,
+    stores: usize,
+    used: Vec<u64>,
+}
+
+/// The link's place, with an own descriptor of its folder: a socket's path may have 107 bytes at most, and
+/// `$TMPDIR` may be longer.
+struct Spot {
+    folder: File,
+    name: PathBuf,
+}
+
+impl Spot {
+    fn new(folder: &Path, gateway: &str) -> io::Result<Spot> {
+        Ok(Spot { folder: File::open(folder)?, name: file_in(Path::new(""), gateway, "link") })
+    }
+
+    fn path(&self) -> PathBuf {
+        Path::new("/proc/self/fd").join(self.folder.as_raw_fd().to_string()).join(&self.name)
+    }
+
+    /// Listens in place of who did so before.
+    fn listen(&self) -> io::Result<UnixListener> {
+        let (path, beside) = (self.path(), self.path().with_extension("link-new"));
+        let _ = fs::remove_file(&beside);
+        let listener = UnixListener::bind(&beside)?;
+        fs::rename(beside, path)?;
+        Ok(listener)
+    }
+}
+
+struct Line {
+    reader: BufReader<UnixStream>,
+    /// What has come of the next line.
+    begun: Vec<u8>,
+}
+
+impl Line {
+    fn new(stream: UnixStream) -> io::Result<Line> {
+        stream.set_write_timeout(Some(TOLD_WITHIN))?;
+        Ok(Line { reader: BufReader::new(stream), begun: Vec::new() })
+    }
+
+    fn tell(&mut self, what: &impl Serialize) -> io::Result<()> {
+        let mut text = serde_json::to_vec(what)?;
+        text.push(b'\n');
+        self.reader.get_mut().write_all(&text)
+    }
+
+    /// The next line. `None`: it has not come whole in this time.
+    fn hear<T: DeserializeOwned>(&mut self, within: Duration) -> io::Result<Option<T>> {
+        self.reader.get_ref().set_read_timeout(Some(within))?;
+        let room = LONGEST.saturating_sub(self.begun.len() as u64);
+        match (&mut self.reader).take(room).read_until(b'\n', &mut self.begun) {
+            Ok(_) if self.begun.ends_with(b"\n") => {
+                let line = std::mem::take(&mut self.begun);
+                Ok(Some(serde_json::from_slice(&line)?))
+            }
+            Ok(_) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+fn hand_over(shared: &Shared) -> Handover {
+    let classes = shared.names.classes.clone();
+    let (learned, open) = shared.broker().memory();
+    let mut used = shared.clients.answered_ids();
+    used.extend(open.iter().map(|id| id.0));
+    Handover { classes, learned, used }
+}
+
+fn take_over(shared: &Shared, told: Handover) {
+    let Handover { classes, mut learned, used } = told;
+    let before = std::mem::take(&mut learned.mean_work);
+    for (name, at) in &shared.names.classes {
+        learned.mean_work.resize(learned.mean_work.len().max(at + 1), (0.0, 0.0));
+        let mean = classes.get(name).and_then(|at| before.get(*at));
+        learned.mean_work[*at] = mean.copied().unwrap_or_default();
+    }
+    log::info!("taking over from the process before: {} ids", used.len());
+    used.into_iter().for_each(|id| shared.clients.answered(id));
+    shared.broker().take_over(learned);
+}
+
+/// Tells and hears until the other is gone.
+fn beside(shared: &Shared, line: &mut Line) -> io::Result<()> {
+    let mut elsewhere = Status::default();
+    let mut silent = Duration::ZERO;
+    while silent < SILENT {
+        let used = std::mem::take(&mut *lock(&shared.fresh));
+        let clients = shared.clients.beside(elsewhere.clients);
+        let stores = shared.stores.beside(elsewhere.stores);
+        line.tell(&Status { clients, stores, used })?;
+        silent += TELL_EVERY;
+        if let Some(status) = line.hear::<Status>(TELL_EVERY)? {
+            silent = Duration::ZERO;
+            status.used.iter().for_each(|id| shared.clients.answered(*id));
+            elsewhere = status;
+            // The other tells as often: its word has come, and the next is due when ours is.
+            std::thread::sleep(TELL_EVERY);
+        }
+    }
+    Ok(())
+}
+
+fn share(shared: &Shared, line: &mut Line) {
+    log::info!("two processes are this gateway");
+    shared.broker().share(2);
+    shared.beside.store(true, Ordering::SeqCst);
+    if let Err(e) = beside(shared, line) {
+        log::debug!("link: {e}");
+    }
+    shared.beside.store(false, Ordering::SeqCst);
+    lock(&shared.fresh).clear();
+    shared.clients.beside(0);
+    shared.stores.beside(0);
+    shared.broker().share(1);
+    log::info!("one process is this gateway");
+}
+
+/// Takes over from a process that is there already, and waits for the one that will come after. Nothing that
+/// goes wrong here stops a start: without the link the gateway serves all the same.
+pub fn start(shared: &Arc<Shared>, folder: &Path, gateway: &str) -> io::Result<()> {
+    let spot = Spot::new(folder, gateway)?;
+    let old = UnixStream::connect(spot.path()).and_then(|stream| {
+        let mut line = Line::new(stream)?;
+        let told = line.hear(TOLD_WITHIN)?.ok_or(io::ErrorKind::TimedOut)?;
+        take_over(shared, told);
+        Ok(line)
+    });
+    let old = old.inspect_err(|e| log::debug!("no process before: {e}")).ok();
+    let listener = spot.listen()?;
+    let shared = shared.clone();
+    std::thread::Builder::new().name("link".into()).stack_size(256 * 1024).spawn(move || {
+        old.into_iter().for_each(|mut line| share(&shared, &mut line));
+        for stream in listener.incoming() {
+            let line = stream.and_then(|stream| {
+                let mut line = Line::new(stream)?;
+                line.tell(&hand_over(&shared))?;
+                Ok(line)
+            });
+            match line {
+                Ok(mut line) => share(&shared, &mut line),
+                Err(e) => log::warn!("link: {e}"),
+            }
+        }
+    })?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn lines_come_whole_in_pieces_and_their_end_is_told() {
+        let (one, mut other) = UnixStream::pair().unwrap();
+        let mut line = Line::new(one).unwrap();
+        other.write_all(b"{\"clients\":3,\"stores\"").unwrap();
+        assert!(line.hear::<Status>(TELL_EVERY).unwrap().is_none());
+        other.write_all(b":1,\"used\":[7]}\n").unwrap();
+        let status = line.hear::<Status>(TELL_EVERY).unwrap().unwrap();
+        assert_eq!((status.clients, status.stores, status.used), (3, 1, vec![7]));
+        other.write_all(b"what?\n").unwrap();
+        assert!(line.hear::<Status>(TELL_EVERY).is_err());
+        drop(other);
+        assert!(line.hear::<Status>(TELL_EVERY).is_err());
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod gateway;
 pub mod handover;
 pub mod http;
+pub mod link;
 pub mod signal;
 pub mod store;
 
@@ -52,6 +53,12 @@
     }
 }
 
+/// What is left of a budget that two processes of a gateway share. Some is always left: the old process's part
+/// only shrinks.
+fn left_of(most: usize, elsewhere: usize) -> usize {
+    most.saturating_sub(elsewhere).max(most / 4)
+}
+
 /// Does what it holds when it is dropped, also by a panic.
 struct Defer<F: FnMut()>(F);
 
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -18,6 +18,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -363,6 +364,8 @@
     table: Mutex<BTreeMap<MemberId, Store<A>>>,
     limits: Limits,
     gate: Gate,
+    /// Connections that the other process of this gateway has, during an upgrade.
+    elsewhere: AtomicUsize,
 }
 
 /// An attempt that is out, to be withdrawn.
@@ -397,7 +400,7 @@
 
 impl<A: Answered> Stores<A> {
     pub fn new(limits: Limits, gate: Gate) -> Arc<Self> {
-        Arc::new(Stores { table: Mutex::default(), limits, gate })
+        Arc::new(Stores { table: Mutex::default(), limits, gate, elsewhere: AtomicUsize::new(0) })
     }
 
     /// Takes in a line of the list. Connections to another address than the new one are given up.
@@ -418,6 +421,12 @@
         lock(&self.table).values_mut().for_each(|store| store.gone = store.gone.or(Some(now)));
     }
 
+    /// Connections that are held here; those elsewhere come off the same budget.
+    pub fn beside(&self, elsewhere: usize) -> usize {
+        self.elsewhere.store(elsewhere, Ordering::SeqCst);
+        lock(&self.table).values().map(|store| store.conns.len()).sum()
+    }
+
     /// Whether a store of this name is listed, or was until lately: it may be on its way back.
     pub fn knows(&self, name: &str) -> bool {
         lock(&self.table).values().any(|store| store.name == name)
@@ -472,9 +481,9 @@
         let best = store.conns.iter().filter_map(|conn| Some((open(&conn)?, conn)));
         let best = best.min_by_key(|(open, _)| *open).map(|((open, _), conn)| (open, conn.clone()));
         // Descriptors are bounded, and one store that is silent must not take the others' share.
-        let room = total < self.limits.connections
-            && store.conns.len() < PER_STORE.min(self.limits.connections)
-            && store.at.is_some();
+        let most = super::left_of(self.limits.connections, self.elsewhere.load(Ordering::SeqCst));
+        let room =
+            total < most && store.conns.len() < PER_STORE.min(self.limits.connections) && store.at.is_some();
         match best {
             Some((open, conn)) if open == 0 || !room => return Some(conn),
             _ if !room => return None,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -30,6 +30,8 @@
 #[serde(rename_all = "PascalCase")]
 struct EnvClass {
     name: String,
+    #[serde(default)]
+    deadline: Micros,
     aim: Micros,
     #[serde(default)]
     aim_stretch: f64,
@@ -130,6 +132,8 @@
     pub inflight_at: Option<usize>,
     pub busy_at: Option<usize>,
     pub connections: Connections,
+    /// The longest that a client waits.
+    pub longest_wait: Micros,
 }
 
 fn index(names: &[String]) -> BTreeMap<String, usize> {
@@ -176,6 +180,7 @@
         inflight_at: env.report.fields.iter().position(|field| field == "rif"),
         busy_at: env.report.fields.iter().position(|field| field == "busy"),
         zones,
+        longest_wait: env.classes.iter().map(|class| class.deadline).max().unwrap_or(0),
         connections: env.limits.connections(),
     };
     let settings = Settings {
