Count the stop from its own time: a plain SIGTERM ended at once; test an upgrade on real sockets

Seen: tests/sockets.rs, sigterm_loses_nothing, 'attempt to subtract with overflow'. At fault: gateway.rs took the time before it noted the stop, so the difference wrapped.

--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -488,7 +488,8 @@
             std::thread::sleep(Duration::from_millis(5));
             if stop.load(Ordering::SeqCst) {
                 let shared = &self.shared;
-                let since = shared.clock.now() - *shared.stopping.get_or_init(|| shared.clock.now());
+                let told = *shared.stopping.get_or_init(|| shared.clock.now());
+                let since = shared.clock.now() - told;
                 let idle = shared.open.load(Ordering::SeqCst) == 0;
                 let linger = if shared.socket_shared { LINGER_HANDED_OVER } else { LINGER };
                 if since >= linger && idle && !(shared.socket_shared && shared.clients.any()) {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -362,18 +362,38 @@
 
 impl Program {
     pub fn start(bus: &Bus) -> Program {
-        static STARTED: AtomicUsize = AtomicUsize::new(0);
         let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let program = Program::start_as(bus, at, std::process::Command::new(env!("CARGO_BIN_EXE_sagearch")));
+        wait_for("it listens", || TcpStream::connect(at).is_ok());
+        program
+    }
+
+    /// One that inherits its listening socket as descriptor 4, and has operators and a folder.
+    pub fn inherit(bus: &Bus, socket: &TcpListener, admin: SocketAddr, folder: &Folder) -> Program {
+        let mut command = std::process::Command::new("/bin/sh");
+        command
+            .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_sagearch")])
+            .stdin(std::os::fd::OwnedFd::from(socket.try_clone().unwrap()))
+            .env("NODE_SOCKET_FD", "4")
+            .env("NODE_ADMIN", admin.to_string())
+            .env("TMPDIR", &folder.0);
+        let program = Program::start_as(bus, socket.local_addr().unwrap(), command);
+        wait_for("it answers operators", || TcpStream::connect(admin).is_ok());
+        wait_for("it is ready", || call(admin, "GET /v1/readyz") == 200);
+        program
+    }
+
+    fn start_as(bus: &Bus, at: SocketAddr, mut command: std::process::Command) -> Program {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
         let name = format!("sagearch-{}-{}.json", std::process::id(), STARTED.fetch_add(1, Ordering::SeqCst));
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, config(bus, &at.to_string(), 1024).to_string()).unwrap();
-        let process = std::process::Command::new(env!("CARGO_BIN_EXE_sagearch"))
+        let process = command
             .env("NODE_CONFIG", &file)
             .env_remove("NODE_NAME")
             .env_remove("NODE_LISTEN")
             .spawn()
             .unwrap();
-        wait_for("it listens", || TcpStream::connect(at).is_ok());
         Program { at, file, process }
     }
 
