--- a/src/brain.rs
+++ b/src/brain.rs
@@ -200,16 +200,17 @@
 /// The decisions of one gateway.
 #[derive(Default)]
 pub struct Router {
-    settings: Settings,
+    pub(crate) settings: Settings,
     now: Micros,
     random: u64,
-    processes: f64,
+    /// Processes that are this gateway now: two share its part of a cold member's budget.
+    pub(crate) processes: f64,
     peers: BTreeMap<MemberId, Peer>,
     /// Members that operators have taken out by hand.
     out: BTreeSet<MemberId>,
     /// Serving members that may be asked: the own zone's caches, all parents, all origins.
     usable: [Vec<MemberId>; 3],
-    learned: Learned,
+    pub(crate) learned: Learned,
     halve_at: Option<Micros>,
     open: BTreeMap<RequestId, Open>,
     /// When objects (true, by hash) and groups (false) were last purged.
@@ -226,10 +227,6 @@
     -weight.max(0.001) / hash::unit(mix(key ^ mix(u64::from(id.0)))).ln()
 }
 
-fn fade(passed: Micros, half: Micros) -> f64 {
-    0.5_f64.powf(passed as f64 / half as f64)
-}
-
 /// Share of misses that is held back for the wait of fills. Where they come late, a look tells hits from
 /// misses: hits are served as ever; of misses a part is given only what a source holds, or nothing where
 /// that comes late as well. Covers a full link in, full fill places, slow parents and a slow origin.
@@ -247,19 +244,11 @@
         Router { settings, random: seed, learned, retries, processes: 1.0, ..Router::default() }
     }
 
-    pub fn learned(&self) -> &Learned {
-        &self.learned
-    }
-
-    /// Goes on from what another process has learned, under this one's classes.
-    pub fn take_over(&mut self, learned: Learned) {
-        self.learned = learned;
+    /// Goes on from what another process has learned, or under new settings. Classes keep their places.
+    pub fn go_on(&mut self, learned: Learned, settings: Settings) {
+        (self.learned, self.settings) = (learned, settings);
         self.learned.mean_work.resize(self.settings.classes.len(), (0.0, 0.0));
-    }
-
-    /// Processes that are this gateway now: two of them share its part of a cold member's budget.
-    pub fn share(&mut self, processes: f64) {
-        self.processes = processes;
+        self.refresh_usable();
     }
 
     /// Members that are remembered.
@@ -294,6 +283,10 @@
             }
             Event::Abandoned { request } => self.close(request, actions),
             Event::Timer(timer) => self.wake(RequestId(timer.0), actions),
+            Event::Retuned(settings) => {
+                let learned = std::mem::take(&mut self.learned);
+                return self.go_on(learned, settings);
+            }
             Event::TakenOut(member) => {
                 self.out.insert(member);
                 return self.refresh_usable();
@@ -340,9 +333,10 @@
     fn refresh_usable(&mut self) {
         let here = |info: &Member| info.role != Role::Cache || info.zone == Some(self.settings.zone);
         self.usable.iter_mut().for_each(Vec::clear);
-        for peer in self.peers.values().filter(|peer| peer.info.state == MemberState::Serving) {
-            if here(&peer.info) && !self.out.contains(&peer.info.id) {
-                self.usable[peer.info.role as usize].push(peer.info.id);
+        let serving = |info: &&Member| info.state == MemberState::Serving && !self.out.contains(&info.id);
+        for info in self.peers.values().map(|peer| &peer.info).filter(serving) {
+            if here(info) {
+                self.usable[info.role as usize].push(info.id);
             }
         }
     }
@@ -603,7 +597,8 @@
     /// Effects: what may have run decides (rule: no effect happens twice).
     fn may_send_again(&self, open: &Open) -> bool {
         let spare = self.settings.tick * TICKS_SPARE;
-        if open.attempts.len() >= self.settings.max_attempts as usize || self.now + spare >= open.deadline {
+        let most = self.settings.classes[open.class].max_attempts as usize;
+        if open.attempts.len() >= most || self.now + spare >= open.deadline {
             return false;
         }
         let first_run = open.attempts.iter().find(|attempt| attempt.may_have_run());
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -134,17 +134,23 @@
 
     /// What the module has learned, for a process that takes over; and the ids that are open.
     pub fn memory(&self) -> (Learned, Vec<RequestId>) {
-        (self.router.learned().clone(), self.open.keys().copied().collect())
+        (self.router.learned.clone(), self.open.keys().copied().collect())
     }
 
     /// Goes on from what the process before has learned.
     pub fn take_over(&mut self, learned: Learned) {
-        self.router.take_over(learned);
+        let settings = self.router.settings.clone();
+        self.router.go_on(learned, settings);
+    }
+
+    /// Goes on under new settings, in which classes keep their places.
+    pub fn retune(&mut self, now: Micros, settings: Settings) {
+        self.router.handle(now, Event::Retuned(settings), &mut Vec::new());
     }
 
     /// Processes that are this gateway now.
     pub fn share(&mut self, processes: u8) {
-        self.router.share(f64::from(processes));
+        self.router.processes = f64::from(processes);
     }
 
     /// Since when the gateway is being emptied.
--- a/src/config.rs
+++ b/src/config.rs
@@ -61,6 +61,7 @@
     pub known: Batch,
     pub settings: Settings,
     pub names: Names,
+    pub shape: Shape,
     pub dns: Option<Dns>,
     pub raft: Option<Raft>,
 }
@@ -190,9 +191,50 @@
     if value < least { Err(fault(key, format!("{value} is under {least}"))) } else { Ok(value) }
 }
 
+/// Which keys a configuration holds. Many have defaults, so that a file may leave them out; but one that
+/// replaces another is whole only if it holds all that the other did.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shape(Value);
+
+impl Shape {
+    /// Names the first key that the other lacks.
+    pub fn held_by(&self, other: &Shape) -> Result<(), ConfigError> {
+        match lacking(&self.0, &other.0) {
+            Some(key) => Err(fault(&key, "is missing, and the configuration in force has it")),
+            None => Ok(()),
+        }
+    }
+}
+
+/// The path of the first key that stands in `old` and not in `new`. Entries of a list come and go: each new one
+/// is held against the keys that all old ones share.
+fn lacking(old: &Value, new: &Value) -> Option<String> {
+    let under = |key: &str, path: String| if path.is_empty() { key.into() } else { format!("{key}.{path}") };
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, value)| match new.get(key) {
+            Some(held) => lacking(value, held).map(|path| under(key, path)),
+            None => Some(key.clone()),
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let first = old.first().and_then(Value::as_object)?;
+            let shared = |key: &&String| old.iter().all(|entry| entry.get(key.as_str()).is_some());
+            let keys: Vec<&String> = first.keys().filter(shared).collect();
+            let lacks = |entry: &Value| keys.iter().find(|key| entry.get(key.as_str()).is_none());
+            new.iter().find_map(lacks).map(|key| key.to_string())
+        }
+        // Something else stands where keys or entries stood.
+        (Value::Object(_) | Value::Array(_), _) => Some(String::new()),
+        (old, Value::Null) if !old.is_null() => Some(String::new()),
+        _ => None,
+    }
+}
+
 /// Decodes the configuration. `name` and `listen` go before the file's where they are given.
 pub fn decode(text: &str, name: Option<String>, listen: Option<String>) -> Result<Config, ConfigError> {
-    let file: File = serde_json::from_str(text).map_err(|e| fault("NODE_CONFIG", e))?;
+    let mut whole: Value = serde_json::from_str(text).map_err(|e| fault("NODE_CONFIG", e))?;
+    let file: File = File::deserialize(&whole).map_err(|e| fault("NODE_CONFIG", e))?;
+    // Events come and go.
+    whole.as_object_mut().into_iter().for_each(|keys| drop(keys.remove("known")));
     let listen_key = if listen.is_some() { "NODE_LISTEN" } else { "listen" };
     let known = file.known.unwrap_or_else(|| serde_json::json!({"offset": 0, "batch": []}));
     let (settings, names) = settings(file.settings.ok_or_else(|| fault("settings", "is missing"))?)
@@ -210,6 +252,7 @@
         known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
         settings,
         names,
+        shape: Shape(whole),
         dns: None,
         raft: None,
     })
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -9,6 +9,11 @@
     span as f64 / 1e6
 }
 
+/// What is left of a part after a time, of which half is left after `half`.
+pub fn fade(passed: Micros, half: Micros) -> f64 {
+    0.5_f64.powf(passed as f64 / half as f64)
+}
+
 /// A cache, parent or origin process, as discovery names it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct MemberId(pub u32);
@@ -59,8 +64,9 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
+    pub name: String,
     /// An answer within `aim + aim_stretch x own sending time` earns the full worth.
     pub aim: Micros,
     pub aim_stretch: f64,
@@ -72,6 +78,7 @@
     pub fresh: Option<Micros>,
     /// Runs at the origin and leaves no copy.
     pub uncacheable: bool,
+    pub max_attempts: u32,
 }
 
 /// A zone: a location with caches and gateways, or a hub with parents.
@@ -117,7 +124,6 @@
     pub pace_kb_per_s: f64,
     /// Member weights state the link in such transfers.
     pub weights_told: bool,
-    pub max_attempts: u32,
     /// A request may have two attempts out at once.
     pub second_copies: bool,
     pub may_cancel: bool,
@@ -300,6 +306,8 @@
         request: RequestId,
     },
     Timer(TimerId),
+    /// New settings. Classes keep their places: what has changed in one makes a new one behind the others.
+    Retuned(Settings),
     /// An operator takes a member out: it counts as draining until it is put back, whatever lists say.
     TakenOut(MemberId),
     /// An operator puts a member back. It may have restarted meanwhile, so it counts as started `at`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,12 +12,12 @@
 //! let cold = ColdRule { floor: 0.2, warm_up: 10_000_000, multiple: 2.0, window: 1_000_000 };
 //! let settings = Settings {
 //!     classes: vec![Class {
-//!         aim: 400_000, aim_stretch: 1.0, worth: 1.0, late_worth: 0.2,
+//!         name: "map".into(), max_attempts: 4, aim: 400_000, aim_stretch: 1.0, worth: 1.0, late_worth: 0.2,
 //!         effect: Effect::Repeatable, fresh: None, uncacheable: false,
 //!     }],
 //!     zones: vec![Zone { routers: 1 }],
 //!     zone: 0, routers: 1, pace_kb_per_s: 5_000.0, weights_told: true,
-//!     max_attempts: 4, second_copies: false, may_cancel: true, max_backoff: Some(1_000_000),
+//!     second_copies: false, may_cancel: true, max_backoff: Some(1_000_000),
 //!     straight: true, joins: true, cold_cache: cold, cold_parent: cold,
 //!     purge_takes: 6_000_000, tick: 1_000,
 //! };
--- a/src/main.rs
+++ b/src/main.rs
@@ -55,8 +55,13 @@
     let (serving, config) = (started.clone(), read()?);
     // A file that can't be used leaves all as it is: a slip in it must not take a serving gateway down.
     let reload = move || match read() {
-        Ok(config) => serving.wait().reload(&config),
-        Err(cause) => log::error!("{cause}; going on with the configuration in force"),
+        Ok(config) => serving.wait().reload(config).map_err(|e| e.to_string()),
+        Err(cause) => Err(cause),
+    };
+    let reload = move || {
+        if let Err(cause) = reload() {
+            log::error!("{cause}; going on with the configuration in force");
+        }
     };
     let stop = signal::take(reload).map_err(|e| format!("signals: {e}"))?;
     let listen = config.listen;
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -106,12 +106,14 @@
         if query.extensions().as_ref().is_some_and(|edns| edns.version() > 0) {
             return Judged::Code(ResponseCode::BADVERS);
         }
+        let deployment = self.shared.deployment();
         // Clients come to the gateways of their own outlet; others go on to their next server.
-        let source =
-            routes.sources.iter().find(|source| source.holds(from)).filter(|source| {
-                self.shared.names.zones.get(&source.zone) == Some(&self.shared.settings.zone)
-            });
-        let class = |name: &str| self.shared.names.classes.get(name).copied();
+        let source = routes
+            .sources
+            .iter()
+            .find(|source| source.holds(from))
+            .filter(|source| deployment.names.zones.get(&source.zone) == Some(&deployment.settings.zone));
+        let class = |name: &str| deployment.names.classes.get(name).copied();
         let named = named(question.name(), &self.domain, class);
         let (Some(source), true) = (source, question.query_class() == DNSClass::IN) else {
             return Judged::Code(ResponseCode::Refused);
@@ -125,7 +127,7 @@
             Named::Unknown => Judged::Code(ResponseCode::NXDomain),
             Named::Branch => Judged::NoData,
             Named::Object { class, object, part } => {
-                let known = &self.shared.settings.classes[class];
+                let known = &deployment.settings.classes[class];
                 // What carries a key runs at most once, where the gateway can see it: never by name.
                 if known.effect != Effect::Repeatable || known.uncacheable {
                     Judged::Code(ResponseCode::Refused)
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -8,10 +8,10 @@
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
 use super::{Place, admin, dns, http, link, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
-use crate::config::{Config, Routes, decode_routes};
+use crate::config::{Config, ConfigError, Routes, Shape, decode_routes};
 use crate::consensus::Instance;
 use crate::interface::*;
-use crate::settings::Names;
+use crate::settings::{Connections, Deployment};
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc;
 use std::collections::HashMap;
@@ -101,8 +101,7 @@
 /// What all coroutines of a gateway share.
 pub struct Shared {
     pub clock: Clock,
-    pub names: Names,
-    pub settings: Settings,
+    deployment: Mutex<Arc<Deployment>>,
     broker: Arc<Mutex<Broker<Mailbox>>>,
     pub(super) stores: Arc<Stores<Mailbox>>,
     pub(super) clients: Arc<http::Clients>,
@@ -132,6 +131,11 @@
         lock(&self.broker)
     }
 
+    /// The settings in force. One who takes them keeps them whole.
+    pub fn deployment(&self) -> Arc<Deployment> {
+        lock(&self.deployment).clone()
+    }
+
     pub fn address(&self, member: MemberId) -> Option<SocketAddr> {
         self.stores.address(member)
     }
@@ -164,7 +168,7 @@
 
     /// How long after it was told to stop the process is sure to be there.
     fn stay(&self) -> Micros {
-        self.names.longest_wait.max(STAY_LEAST) + STAY_ON_TOP
+        self.deployment().names.longest_wait.max(STAY_LEAST) + STAY_ON_TOP
     }
 
     /// The time that a request may take. `MAX`: whatever its client says.
@@ -210,9 +214,9 @@
                 if kind == ListKind::Complete {
                     self.stores.all_gone();
                 }
-                let mut members = Vec::new();
+                let (mut members, deployment) = (Vec::new(), self.deployment());
                 for line in &topology.instances {
-                    let member = bus::member(line, &self.names, self.clock.at(line.started_at_ms));
+                    let member = bus::member(line, &deployment.names, self.clock.at(line.started_at_ms));
                     let gone = member.state == MemberState::Gone;
                     self.stores.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
                     log::info!("{} is {}", line.instance_id, line.lifecycle);
@@ -337,6 +341,19 @@
     }
 }
 
+/// What the settings say of connections to stores, and the descriptors for them.
+fn limits(told: Connections, sockets: usize) -> Limits {
+    Limits {
+        streams: told.streams,
+        // Next to two fifths for clients; the rest is for the bus, operators, the worker and clients being
+        // turned away.
+        connections: sockets / 3,
+        connect: Duration::from_micros(told.timeout),
+        // Well before the store closes it: a request must not cross with that.
+        idle: Duration::from_micros(told.keepalive) * 2 / 3,
+    }
+}
+
 /// Whether a client that waits has neither closed nor reset its connection.
 fn still_there(stream: &TcpStream) -> bool {
     match stream.inner().peek(&mut [0]) {
@@ -352,6 +369,9 @@
     /// Where operators call.
     pub admin: Option<SocketAddr>,
     pub dns: Option<SocketAddr>,
+    /// What the configuration in force holds: a new one may not lack any of it.
+    shape: Mutex<Shape>,
+    sockets: usize,
     /// Where routes are agreed on, with the other instances of the group.
     pub raft: Option<Instance>,
 }
@@ -374,26 +394,18 @@
             admin,
             socket,
             lasting,
+            shape,
         } = config;
         let clock = Clock::default();
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
         let gate = Arc::new(move |order: &Order| lock(&asked).may_send(order));
-        let told = names.connections;
-        let limits = Limits {
-            streams: told.streams,
-            // Next to two fifths for clients; the rest is for the bus, the worker and clients being turned away.
-            connections: sockets / 3,
-            connect: Duration::from_micros(told.timeout),
-            // Well before the store closes it: a request must not cross with that.
-            idle: Duration::from_micros(told.keepalive) * 2 / 3,
-        };
+        let limits = limits(names.connections, sockets);
         let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
         let clients = Arc::new(http::Clients::new(most, (sockets / 16).max(2)));
         let shared = Arc::new(Shared {
             clock,
-            names,
-            settings,
+            deployment: Mutex::new(Arc::new(Deployment { settings, names })),
             broker,
             stores: Stores::new(limits, gate),
             clients: clients.clone(),
@@ -426,16 +438,18 @@
         let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
         let raft = raft.map(|raft| {
             let (checking, applying) = (shared.clone(), shared.clone());
-            let check = move |text: &[u8]| match decode_routes(text, &checking.names) {
+            let check = move |text: &[u8]| match decode_routes(text, &checking.deployment().names) {
                 Ok(_) => Ok(()),
                 Err(e) => Err(e.to_string()),
             };
-            Instance::start(&raft, Arc::new(check), move |text| match decode_routes(text, &applying.names) {
-                Ok(routes) => {
-                    log::info!("agreed: {} sources of look-ups", routes.sources.len());
-                    applying.set_routes(routes);
+            Instance::start(&raft, Arc::new(check), move |text| {
+                match decode_routes(text, &applying.deployment().names) {
+                    Ok(routes) => {
+                        log::info!("agreed: {} sources of look-ups", routes.sources.len());
+                        applying.set_routes(routes);
+                    }
+                    Err(e) => log::error!("agreed, but not usable here: {e}"),
                 }
-                Err(e) => log::error!("agreed, but not usable here: {e}"),
             })
         });
         let raft = raft.transpose()?;
@@ -470,14 +484,28 @@
             }
         });
         log::info!("{name} serves at {listen}");
-        Ok(Gateway { shared, listen, admin: operators, dns, raft })
+        Ok(Gateway { shared, listen, admin: operators, dns, shape: Mutex::new(shape), sockets, raft })
     }
 
-    /// Takes in a configuration that has replaced the one of the start: the event bus is followed at its new
-    /// address, from the last event on. All else holds until a restart. Nothing under way is touched.
-    pub fn reload(&self, config: &Config) {
-        log::info!("configuration read again: the event bus is {}", config.bus);
-        bus::follow(&self.shared, config.bus);
+    /// Takes in a configuration that has replaced the one before: its settings, and the address of its bus,
+    /// which is followed from the last event on. It moves whole or not at all, and open requests go on under the
+    /// rules with which they were taken. All else in it holds from the next start.
+    pub fn reload(&self, config: Config) -> Result<(), ConfigError> {
+        let mut shape = lock(&self.shape);
+        shape.held_by(&config.shape)?;
+        let Config { settings, names, bus, .. } = config;
+        let shared = &self.shared;
+        shared.stores.set_limits(limits(names.connections, self.sockets));
+        {
+            let mut deployment = lock(&shared.deployment);
+            let renewed = deployment.renewed(settings, names);
+            shared.broker().retune(shared.clock.now(), renewed.settings.clone());
+            *deployment = Arc::new(renewed);
+        }
+        bus::follow(shared, bus);
+        *shape = config.shape;
+        log::info!("configuration read again: the settings are in force, and the event bus is {bus}");
+        Ok(())
     }
 
     /// Returns once the flag has been set, requests have had time to come to an end, and all taken ones
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -622,8 +622,9 @@
         Asked::Live => return Some(Answer::new(200, b"live\n".into())),
         Asked::Object(object) => *object,
     };
-    let class = shared.names.classes.get(&object.pull.class).copied();
-    let Some(known) = class.and_then(|class| shared.settings.classes.get(class)) else {
+    let deployment = shared.deployment();
+    let class = deployment.names.classes.get(&object.pull.class).copied();
+    let Some(known) = class.and_then(|class| deployment.settings.classes.get(class)) else {
         return Some(Answer::new(404, b"no such class\n".into()));
     };
     if object.write != known.uncacheable {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -107,7 +107,7 @@
 }
 
 fn hand_over(shared: &Shared) -> Handover {
-    let classes = shared.names.classes.clone();
+    let classes = shared.deployment().names.classes.clone();
     let (learned, open) = shared.broker().memory();
     let mut used = shared.clients.answered_ids();
     used.extend(open.iter().map(|id| id.0));
@@ -117,7 +117,7 @@
 fn take_over(shared: &Shared, told: Handover) {
     let Handover { classes, mut learned, used } = told;
     let before = std::mem::take(&mut learned.mean_work);
-    for (name, at) in &shared.names.classes {
+    for (name, at) in &shared.deployment().names.classes {
         learned.mean_work.resize(learned.mean_work.len().max(at + 1), (0.0, 0.0));
         let mean = classes.get(name).and_then(|at| before.get(*at));
         learned.mean_work[*at] = mean.copied().unwrap_or_default();
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -352,6 +352,7 @@
 /// Whether an order may still go out, asked as its first byte is about to be written.
 pub type Gate = Arc<dyn Fn(&Order) -> bool + Send + Sync>;
 
+#[derive(Clone, Copy)]
 pub struct Limits {
     pub streams: usize,
     pub connections: usize,
@@ -362,7 +363,7 @@
 /// All stores by id, with their connections.
 pub struct Stores<A> {
     table: Mutex<BTreeMap<MemberId, Store<A>>>,
-    limits: Limits,
+    limits: Mutex<Limits>,
     gate: Gate,
     /// Connections that the other process of this gateway has, during an upgrade.
     elsewhere: AtomicUsize,
@@ -400,7 +401,21 @@
 
 impl<A: Answered> Stores<A> {
     pub fn new(limits: Limits, gate: Gate) -> Arc<Self> {
-        Arc::new(Stores { table: Mutex::default(), limits, gate, elsewhere: AtomicUsize::new(0) })
+        Arc::new(Stores {
+            table: Mutex::default(),
+            limits: Mutex::new(limits),
+            gate,
+            elsewhere: AtomicUsize::new(0),
+        })
+    }
+
+    fn limits(&self) -> Limits {
+        *lock(&self.limits)
+    }
+
+    /// What holds from now on, for connections that are there too.
+    pub fn set_limits(&self, limits: Limits) {
+        *lock(&self.limits) = limits;
     }
 
     /// Takes in a line of the list. Connections to another address than the new one are given up.
@@ -466,13 +481,14 @@
     /// A connection with nothing open; where there is none a new one, and without descriptors for that the
     /// one with the least open.
     fn connection(self: &Arc<Self>, member: MemberId, id: u64) -> Option<Arc<Conn<A>>> {
+        let limits = self.limits();
         let mut table = lock(&self.table);
         let total: usize = table.values().map(|store| store.conns.len()).sum();
         let store = table.get_mut(&member)?;
         let open = |conn: &&Arc<Conn<A>>| {
             let state = lock(&conn.state);
             let fits = !state.retired
-                && state.pending.len() < self.limits.streams
+                && state.pending.len() < limits.streams
                 && !state.pending.contains_key(&id)
                 && !state.ended.contains(&id);
             // Of those with nothing open the last used, so that what is not needed comes to its idle end.
@@ -481,9 +497,9 @@
         let best = store.conns.iter().filter_map(|conn| Some((open(&conn)?, conn)));
         let best = best.min_by_key(|(open, _)| *open).map(|((open, _), conn)| (open, conn.clone()));
         // Descriptors are bounded, and one store that is silent must not take the others' share.
-        let most = super::left_of(self.limits.connections, self.elsewhere.load(Ordering::SeqCst));
+        let most = super::left_of(limits.connections, self.elsewhere.load(Ordering::SeqCst));
         let room =
-            total < most && store.conns.len() < PER_STORE.min(self.limits.connections) && store.at.is_some();
+            total < most && store.conns.len() < PER_STORE.min(limits.connections) && store.at.is_some();
         match best {
             Some((open, conn)) if open == 0 || !room => return Some(conn),
             _ if !room => return None,
@@ -516,7 +532,7 @@
     /// A connection's writer, from its opening to its end.
     fn run(&self, conn: &Arc<Conn<A>>, at: SocketAddr, work: &mpsc::Receiver<Out>) {
         let open = || -> io::Result<Arc<TcpStream>> {
-            let stream = TcpStream::connect_timeout(&at, self.limits.connect)?;
+            let stream = TcpStream::connect_timeout(&at, self.limits().connect)?;
             stream.set_nodelay(true)?;
             Ok(Arc::new(stream))
         };
@@ -579,14 +595,14 @@
     /// Closes connections that are idle for long, that take nothing new and have nothing open, or whose answer
     /// under way has stopped short.
     pub fn sweep(&self) {
-        let now = Instant::now();
+        let (now, idle) = (Instant::now(), self.limits().idle);
         let mut close = Vec::new();
         {
             let mut table = lock(&self.table);
             for store in table.values_mut() {
                 for conn in &store.conns {
                     let mut state = lock(&conn.state);
-                    let over = state.retired || store.gone.is_some() || now - state.used > self.limits.idle;
+                    let over = state.retired || store.gone.is_some() || now - state.used > idle;
                     if over && state.pending.is_empty() {
                         state.retired = true;
                         close.push(conn.clone());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -30,7 +30,6 @@
 #[serde(rename_all = "PascalCase")]
 struct EnvClass {
     name: String,
-    #[serde(default)]
     deadline: Micros,
     aim: Micros,
     #[serde(default)]
@@ -123,9 +122,12 @@
 }
 
 /// The names that one gateway's settings gave.
+#[derive(Clone)]
 pub struct Names {
     pub classes: BTreeMap<String, usize>,
     pub zones: BTreeMap<String, usize>,
+    /// The gateway's own.
+    pub zone: usize,
     pub kinds: BTreeMap<String, i64>,
     pub parent_kind: i64,
     pub origin_kind: i64,
@@ -144,6 +146,15 @@
 pub fn settings(env: Value) -> Result<(Settings, Names), String> {
     let env: Env = serde_json::from_value(env).map_err(|e| format!("unusable settings: {e}"))?;
     let info = &env.family_info;
+    let fault = |what: String| Err(format!("unusable settings: {what}"));
+    if env.limits.send_cap == 0 {
+        return fault("Limits.SendCap is not over 0".into());
+    }
+    for (key, length) in [("ClassFresh", info.class_fresh.len()), ("PassOn", info.pass_on.len())] {
+        if length > 0 && length != env.classes.len() {
+            return fault(format!("FamilyInfo.{key} has {length} entries for {} classes", env.classes.len()));
+        }
+    }
     let mut classes = Vec::new();
     for (at, class) in env.classes.iter().enumerate() {
         let group = match class.group.as_str() {
@@ -155,9 +166,13 @@
             "free" => Effect::Repeatable,
             "guarded" => Effect::Keyed { group, memory: class.memory_span },
             "single_shot" => Effect::Once,
-            other => return Err(format!("unusable settings: effect {other:?}")),
+            other => return fault(format!("effect {other:?}")),
         };
+        if class.deadline == 0 {
+            return fault(format!("the deadline of {:?} is not over 0", class.name));
+        }
         classes.push(Class {
+            name: class.name.clone(),
             aim: class.aim,
             aim_stretch: class.aim_stretch,
             worth: class.credit,
@@ -165,6 +180,7 @@
             effect,
             fresh: info.class_fresh.get(at).copied().filter(|fresh| *fresh > 0),
             uncacheable: info.pass_on.get(at).copied().unwrap_or(false),
+            max_attempts: env.limits.send_cap,
         });
     }
     let zones = index(&env.zones);
@@ -180,6 +196,7 @@
         inflight_at: env.report.fields.iter().position(|field| field == "rif"),
         busy_at: env.report.fields.iter().position(|field| field == "busy"),
         zones,
+        zone,
         longest_wait: env.classes.iter().map(|class| class.deadline).max().unwrap_or(0),
         connections: env.limits.connections(),
     };
@@ -190,7 +207,6 @@
         routers: env.instances,
         pace_kb_per_s: info.pace_kb_per_s,
         weights_told: env.weight_kind != "silent",
-        max_attempts: env.limits.send_cap,
         second_copies: env.limits.second_copies,
         may_cancel: env.limits.may_cancel,
         max_backoff: env.limits.retry_after.then_some(env.limits.max_retry_after),
@@ -214,6 +230,41 @@
     Ok((settings, names))
 }
 
+/// What the settings in force say, whole.
+#[derive(Clone)]
+pub struct Deployment {
+    pub settings: Settings,
+    pub names: Names,
+}
+
+impl Deployment {
+    /// The deployment under new settings. Classes and zones keep their places, as open requests and listed
+    /// members are known by them: a class that is new, or not the same any more, gets one behind the others.
+    pub fn renewed(&self, mut settings: Settings, mut names: Names) -> Deployment {
+        let mut classes = self.settings.classes.clone();
+        for at in names.classes.values_mut() {
+            let new = &settings.classes[*at];
+            *at = classes.iter().position(|class| class == new).unwrap_or(classes.len());
+            if *at == classes.len() {
+                classes.push(new.clone());
+            }
+        }
+        settings.classes = classes;
+        let mut places = self.names.zones.clone();
+        let mut zones = self.settings.zones.clone();
+        for (name, at) in &names.zones {
+            let place = *places.entry(name.clone()).or_insert(zones.len());
+            zones.resize(zones.len().max(place + 1), Zone { routers: 0 });
+            zones[place] = settings.zones[*at].clone();
+            if settings.zone == *at {
+                names.zone = place;
+            }
+        }
+        (settings.zone, settings.zones, names.zones) = (names.zone, zones, places);
+        Deployment { settings, names }
+    }
+}
+
 impl Names {
     /// The role that a machine kind plays.
     pub fn role(&self, kind: &str) -> Role {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,17 @@
 pub const SECOND: Micros = 1_000_000;
 
 pub fn class(effect: Effect, uncacheable: bool) -> Class {
-    Class { aim: 500 * MS, aim_stretch: 1.5, worth: 1.0, late_worth: 0.1, effect, fresh: None, uncacheable }
+    Class {
+        name: String::new(),
+        aim: 500 * MS,
+        aim_stretch: 1.5,
+        worth: 1.0,
+        late_worth: 0.1,
+        effect,
+        fresh: None,
+        uncacheable,
+        max_attempts: 6,
+    }
 }
 
 /// Class 0 repeatable, 1 keyed at the origin, 2 run once at the origin, 3 repeatable with a fresh time.
@@ -26,7 +36,6 @@
         routers: 3,
         pace_kb_per_s: 1_000.0,
         weights_told: true,
-        max_attempts: 6,
         second_copies: false,
         may_cancel: true,
         max_backoff: Some(SECOND),
