--- a/src/brain.rs
+++ b/src/brain.rs
@@ -206,8 +206,8 @@
     /// Processes that are this gateway now: two share its part of a cold member's budget.
     pub(crate) processes: f64,
     peers: BTreeMap<MemberId, Peer>,
-    /// Members that operators have taken out by hand.
-    out: BTreeSet<MemberId>,
+    /// Members that operators have taken out by hand, and since when.
+    out: BTreeMap<MemberId, Micros>,
     /// Serving members that may be asked: the own zone's caches, all parents, all origins.
     usable: [Vec<MemberId>; 3],
     pub(crate) learned: Learned,
@@ -288,7 +288,7 @@
                 return self.go_on(learned, settings);
             }
             Event::TakenOut(member) => {
-                self.out.insert(member);
+                self.out.entry(member).or_insert(self.now);
                 return self.refresh_usable();
             }
             Event::PutBack { member, at } => return self.put_back(member, at),
@@ -333,7 +333,7 @@
     fn refresh_usable(&mut self) {
         let here = |info: &Member| info.role != Role::Cache || info.zone == Some(self.settings.zone);
         self.usable.iter_mut().for_each(Vec::clear);
-        let serving = |info: &&Member| info.state == MemberState::Serving && !self.out.contains(&info.id);
+        let serving = |info: &&Member| info.state == MemberState::Serving && !self.out.contains_key(&info.id);
         for info in self.peers.values().map(|peer| &peer.info).filter(serving) {
             if here(info) {
                 self.usable[info.role as usize].push(info.id);
@@ -343,16 +343,15 @@
 
     /// Back from the operators' hands it is cold, as far as anyone knows: it was restarted, perhaps unheard.
     fn put_back(&mut self, id: MemberId, at: Micros) {
-        if self.out.remove(&id) {
-            let info = self.peers.get(&id).map(|peer| peer.info.clone());
-            let started = |info: Member| Member { started: info.started.max(Some(at)), ..info };
-            self.list(ListKind::Changes, info.map(started).into_iter().collect());
-        }
+        let info = self.peers.get(&id).map(|peer| peer.info.clone());
+        let (Some(since), Some(info)) = (self.out.remove(&id), info) else { return };
+        let told = info.started.filter(|started| *started > since);
+        self.list(ListKind::Changes, vec![Member { started: told.or(Some(at)), ..info }]);
     }
 
     /// Whether an operator has taken this member out.
     pub fn is_out(&self, id: MemberId) -> bool {
-        self.out.contains(&id)
+        self.out.contains_key(&id)
     }
 
     /// Members of a role in hash order that may be sent something new. A draining or gone member is
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -183,8 +183,12 @@
     let mut lasting = Lasting { file: folder.map(|folder| file_in(folder, name, "json")), seen: None };
     if let Some(intents) = lasting.look() {
         // Stores put back before this process began may still be cold.
-        let back = intents.back.keys().cloned().collect();
-        apply(shared, Intents { out: back, ..Intents::default() });
+        let now = shared.clock.now();
+        for (store, at) in &intents.back {
+            let started = shared.clock.at(*at).unwrap_or(now);
+            shared.broker().take_out(now, member_id(store));
+            shared.broker().put_back(now, member_id(store), started);
+        }
         apply(shared, intents);
     }
     let (keeper, asked) = mpsc::channel::<Ask>();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use sagearch::interface::*;
+use std::collections::BTreeSet;
 
 // ---- no request is lost ----
 
@@ -267,3 +268,52 @@
     assert_eq!(straight.member, 11);
     assert!(straight.fill.unwrap().max_age.is_some());
 }
+
+// ---- operators' hands ----
+
+fn listed(started: Option<Micros>) -> Event {
+    let members =
+        vec![Member { started, ..member(1, Role::Cache) }, Member { started, ..member(11, Role::Parent) }];
+    Event::Members { kind: ListKind::Changes, members }
+}
+
+fn used(bench: &mut Bench, ids: std::ops::Range<u64>) -> BTreeSet<u32> {
+    ids.filter_map(|id| bench.after(50 * MS).serve(id, &format!("o{id}")))
+        .flat_map(|sent| [sent.member, sent.source()])
+        .collect()
+}
+
+#[test]
+fn what_is_out_by_hand_is_neither_asked_nor_a_source_whatever_lists_say() {
+    let mut bench = Bench::new();
+    assert!(used(&mut bench, 1..60).is_superset(&[1, 11].into()));
+    let now = bench.now;
+    for id in [1, 11, 1] {
+        bench.event(Event::TakenOut(MemberId(id)));
+    }
+    bench.event(listed(Some(now)));
+    bench.event(Event::Members { kind: ListKind::Complete, members: fleet() });
+    assert!(used(&mut bench, 100..160).is_disjoint(&[1, 11].into()));
+    for id in [1, 11] {
+        bench.event(Event::PutBack { member: MemberId(id), at: bench.now });
+    }
+    assert!(used(&mut bench, 200..300).is_superset(&[1, 11].into()), "some work within 5 s");
+}
+
+/// Back it is cold: from its restart, if the bus has told of one since, and else from when it was put back.
+#[test]
+fn what_is_put_back_is_cold() {
+    let share = |told_after: Option<Micros>| {
+        let mut bench = Bench::with(settings(), fleet());
+        let since = bench.now;
+        bench.event(Event::TakenOut(MemberId(1)));
+        bench.after(9 * SECOND).event(listed(told_after.map(|after| since + after)));
+        bench.event(Event::PutBack { member: MemberId(1), at: bench.now });
+        let mut asked = |id| bench.after(10 * MS).serve(id, &format!("o{id}"));
+        (0..300).filter(|id| asked(*id).is_some_and(|sent| sent.member == 1)).count()
+    };
+    let (warm, unheard) = (share(Some(SECOND)), share(None));
+    assert!(unheard < warm / 2, "{unheard} of {warm}");
+    // A start of before it was taken out says nothing of what was done to it since.
+    assert_eq!(share(Some(0)), unheard);
+}
