--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -119,7 +119,7 @@
             return Judged::Code(ResponseCode::Refused);
         };
         // Whoever asks is to go on to another gateway.
-        if self.shared.leaving().is_some() {
+        if self.shared.broker().drained().is_some() {
             return Judged::Code(ResponseCode::Refused);
         }
         match named {
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -8,7 +8,7 @@
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
 use super::{Place, admin, dns, http, link, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
-use crate::config::{Config, ConfigError, Routes, Shape, decode_routes};
+use crate::config::{Config, ConfigError, Raft, Routes, Shape, decode_routes};
 use crate::consensus::Instance;
 use crate::interface::*;
 use crate::settings::{Connections, Deployment};
@@ -46,6 +46,8 @@
 /// with a close, as far as there is time for a last request.
 const HANDED_OVER_IDLE: Duration = Duration::from_millis(4_200);
 const LAST_REQUEST: Micros = 1_500_000;
+/// How often the address of a front is tried that the other process still holds.
+const FREE_LOOK: Duration = Duration::from_millis(20);
 /// A new process has caught up with the bus by its first answer, or after this if that is silent.
 const CAUGHT_UP_WITHIN: Duration = Duration::from_millis(1_500);
 /// Memory that is kept out of the reckoning of answers, and what one answer may take of the rest: an object
@@ -391,6 +393,44 @@
     }
 }
 
+/// Whether another process listens there.
+fn in_use(at: SocketAddr) -> bool {
+    std::net::TcpListener::bind(at).is_err_and(|e| e.kind() == io::ErrorKind::AddrInUse)
+}
+
+/// Starts what only one process of a gateway can be, once the other is gone: it goes on with that until then.
+fn when_free(at: SocketAddr, start: impl FnOnce() -> io::Result<()> + Send + 'static) -> io::Result<()> {
+    log::info!("{at} is in use: it is taken over once it is free");
+    let thread = std::thread::Builder::new().name("take-over".into()).stack_size(256 * 1024);
+    let waiting = thread.spawn(move || {
+        while in_use(at) {
+            std::thread::sleep(FREE_LOOK);
+        }
+        if let Err(e) = start() {
+            log::error!("{at}: {e}");
+        }
+    });
+    waiting.map(drop)
+}
+
+/// This instance's part in agreeing on the name front's routes.
+fn agree(shared: &Arc<Shared>, raft: &Raft) -> io::Result<Instance> {
+    let (checking, applying) = (shared.clone(), shared.clone());
+    let check = move |text: &[u8]| match decode_routes(text, &checking.deployment().names) {
+        Ok(_) => Ok(()),
+        Err(e) => Err(e.to_string()),
+    };
+    Instance::start(raft, Arc::new(check), move |text| {
+        match decode_routes(text, &applying.deployment().names) {
+            Ok(routes) => {
+                log::info!("agreed: {} sources of look-ups", routes.sources.len());
+                applying.set_routes(routes);
+            }
+            Err(e) => log::error!("agreed, but not usable here: {e}"),
+        }
+    })
+}
+
 /// A gateway that listens.
 pub struct Gateway {
     pub shared: Arc<Shared>,
@@ -465,24 +505,28 @@
             None => TcpListener::bind(listen)?,
         };
         let listen = listener.local_addr()?;
-        let dns = dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?;
-        let raft = raft.map(|raft| {
-            let (checking, applying) = (shared.clone(), shared.clone());
-            let check = move |text: &[u8]| match decode_routes(text, &checking.deployment().names) {
-                Ok(_) => Ok(()),
-                Err(e) => Err(e.to_string()),
-            };
-            Instance::start(&raft, Arc::new(check), move |text| {
-                match decode_routes(text, &applying.deployment().names) {
-                    Ok(routes) => {
-                        log::info!("agreed: {} sources of look-ups", routes.sources.len());
-                        applying.set_routes(routes);
+        let beside = socket.is_some();
+        let dns = match dns {
+            Some(dns) if beside && in_use(dns.listen) => {
+                let (shared, at) = (shared.clone(), dns.listen);
+                when_free(at, move || dns::start(&shared, dns, listen, seed).map(drop))?;
+                Some(at)
+            }
+            dns => dns.map(|dns| dns::start(&shared, dns, listen, seed)).transpose()?,
+        };
+        let raft = match raft {
+            Some(raft) if beside && in_use(raft.listen) => {
+                let shared = shared.clone();
+                when_free(raft.listen, move || {
+                    let _instance = agree(&shared, &raft)?;
+                    loop {
+                        std::thread::park();
                     }
-                    Err(e) => log::error!("agreed, but not usable here: {e}"),
-                }
-            })
-        });
-        let raft = raft.transpose()?;
+                })?;
+                None
+            }
+            raft => raft.map(|raft| agree(&shared, &raft)).transpose()?,
+        };
         if let Some(folder) = &lasting
             && let Err(e) = link::start(&shared, folder, &name)
         {
--- a/tests/dns.rs
+++ b/tests/dns.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use stand::*;
 use std::io::{Read, Write};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, mpsc};
 use std::thread;
@@ -242,3 +242,22 @@
     assert!(socket.recv(&mut [0; 512]).unwrap() > 12);
     assert_eq!(cache.lines("ECHO").len(), 1);
 }
+
+/// In an upgrade the old process holds the front's address until it is gone: the new one starts all the same.
+#[test]
+fn a_new_process_takes_the_front_over_once_the_old_one_is_gone() {
+    let (bus, cache) = (Bus::default(), store(1, |_| "yes"));
+    let [socket, old] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = old.local_addr().unwrap();
+    let source = json!({"net": "127.0.0.1", "zone": "edge"});
+    let dns = json!({"listen": at.to_string(), "domain": "svc.test", "sources": [source]});
+    let gateway = gateway_beside(&bus, &[cache.cache()], &socket, &dns);
+    assert_eq!(gateway.dns, Some(at));
+    drop(old);
+    let query = question("7f3a.video.svc.test.", RecordType::A).to_vec().unwrap();
+    let asked = UdpSocket::bind("127.0.0.1:0").unwrap();
+    asked.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+    wait_for("an answer", || {
+        asked.send_to(&query, at).is_ok() && asked.recv(&mut [0; 512]).is_ok_and(|read| read > 12)
+    });
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::IntoRawFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex, Once};
 use std::thread;
@@ -240,6 +241,14 @@
     })
 }
 
+/// One with a name front that inherits its listening socket, as beside another process.
+pub fn gateway_beside(bus: &Bus, instances: &[Value], socket: &TcpListener, dns: &Value) -> Gateway {
+    start(bus, instances, 1024, |config| {
+        config.socket = Some(socket.try_clone().unwrap().into_raw_fd());
+        config.dns = decode_dns(&dns.to_string(), &config.names).unwrap();
+    })
+}
+
 /// A folder that is gone with the test.
 pub struct Folder(pub std::path::PathBuf);
 
