--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,8 +36,8 @@
 const STRETCH_SEEN: f64 = 1.25;
 /// Wait of fills over what their requests can spare from which misses are held back, to all, but never more.
 const MISS_SHED_FROM: f64 = 0.5;
-const MISS_SHED_ALL: f64 = 1.5;
-const MISS_SHED_MOST: f64 = 0.95;
+const MISS_SHED_ALL: f64 = 2.0;
+const MISS_SHED_MOST: f64 = 0.8;
 /// A failed fill counts as this multiple of what its request could spare, and none as more.
 const FAILED_WAIT: f64 = 3.0;
 /// A parent is slow whose fills wait longer than this multiple of the usual and this many seconds.
