--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -170,3 +170,30 @@
     }
     assert!((1..20).contains(&taken), "{taken}");
 }
+
+/// While two processes are the gateway, each sends a cold cache half of the gateway's part; and the new one
+/// goes on from what the old one has learned.
+#[test]
+fn two_processes_share_a_cold_members_budget_and_what_was_learned() {
+    let taken = |processes: u8| {
+        let settings = Settings { straight: false, ..settings() };
+        let mut broker: Broker<Told> = Broker::new(settings, 1);
+        let cold = Member { started: Some(100 * SECOND), ..member(1, Role::Cache) };
+        broker.members(100 * SECOND, ListKind::Complete, vec![cold, member(20, Role::Origin)]);
+        broker.share(processes);
+        let mut sent = 0;
+        for id in 0..800 {
+            let now = 100 * SECOND + id * 2 * MS;
+            let asked = Request { size_kb: 50.0, object: format!("o{id}"), ..request(id, 0) };
+            let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Told::default()) else { continue };
+            sent += 1;
+            report(&mut broker, now, &order, Outcome::Served);
+        }
+        (sent, broker)
+    };
+    let ((alone, old), (shared, mut new)) = (taken(1), taken(2));
+    assert!(shared * 3 < alone * 2 && shared > 0, "{shared} of {alone}");
+    let counted = |broker: &Broker<Told>| serde_json::to_value(broker.memory().0).unwrap()["counts"].clone();
+    new.take_over(serde_json::from_value(serde_json::json!(old.memory().0)).unwrap());
+    assert_eq!(counted(&new), counted(&old));
+}
