--- /dev/null
+++ b/crates/identity/src/issue.rs
@@ -0,0 +1,116 @@
+//! Keys that sign, and tokens by them: for small installations, and for tests. A gateway never holds one.
+
+use crate::jwks::{Algorithm, KeySet};
+use base64::Engine;
+use base64::prelude::BASE64_URL_SAFE_NO_PAD;
+use ring::rand::SecureRandom;
+use ring::signature::{
+    ECDSA_P256_SHA256_FIXED_SIGNING, EcdsaKeyPair, Ed25519KeyPair, KeyPair, RSA_PKCS1_SHA256, RsaKeyPair,
+};
+use serde_json::{Map, Value, json};
+
+enum Pair {
+    EdDsa(Ed25519KeyPair),
+    Es256(EcdsaKeyPair),
+    Rs256(RsaKeyPair),
+}
+
+/// A key pair under its name.
+pub struct Signer {
+    pub kid: String,
+    pub algorithm: Algorithm,
+    pair: Pair,
+}
+
+/// A new private key in PKCS #8. RSA keys are not made here; they may be read.
+pub fn generate(algorithm: Algorithm, random: &dyn SecureRandom) -> Result<Vec<u8>, String> {
+    let made = match algorithm {
+        Algorithm::EdDsa => Ed25519KeyPair::generate_pkcs8(random),
+        Algorithm::Es256 => EcdsaKeyPair::generate_pkcs8(&ECDSA_P256_SHA256_FIXED_SIGNING, random),
+        Algorithm::Rs256 => return Err("RSA keys are made elsewhere, and read here".into()),
+    };
+    made.map(|key| key.as_ref().to_vec()).map_err(|_| "no random numbers".into())
+}
+
+impl Signer {
+    /// Reads a private key in PKCS #8. Without a name it is called by its thumbprint.
+    pub fn read(
+        kid: Option<String>,
+        algorithm: Algorithm,
+        pkcs8: &[u8],
+        random: &dyn SecureRandom,
+    ) -> Result<Signer, String> {
+        let pair = match algorithm {
+            Algorithm::EdDsa => Ed25519KeyPair::from_pkcs8_maybe_unchecked(pkcs8).map(Pair::EdDsa),
+            Algorithm::Es256 => {
+                EcdsaKeyPair::from_pkcs8(&ECDSA_P256_SHA256_FIXED_SIGNING, pkcs8, random).map(Pair::Es256)
+            }
+            Algorithm::Rs256 => RsaKeyPair::from_pkcs8(pkcs8).map(Pair::Rs256),
+        };
+        let pair = pair.map_err(|e| format!("not a key for {}: {e}", algorithm.name()))?;
+        let mut signer = Signer { kid: kid.unwrap_or_default(), algorithm, pair };
+        if signer.kid.is_empty() {
+            let set = json!({"keys": [signer.members()]}).to_string();
+            let read = KeySet::parse(set.as_bytes())?;
+            signer.kid = read.keys.first().ok_or("not a key that verifies")?.key.kid.clone();
+        }
+        Ok(signer)
+    }
+
+    fn members(&self) -> Map<String, Value> {
+        let text = |bytes: &[u8]| Value::String(BASE64_URL_SAFE_NO_PAD.encode(bytes));
+        let fields: Vec<(&str, Value)> = match &self.pair {
+            Pair::EdDsa(pair) => {
+                vec![
+                    ("kty", json!("OKP")),
+                    ("crv", json!("Ed25519")),
+                    ("x", text(pair.public_key().as_ref())),
+                ]
+            }
+            Pair::Es256(pair) => {
+                // Uncompressed: a 4 and both coordinates.
+                let point = pair.public_key().as_ref();
+                let (x, y) = point[1..].split_at(32);
+                vec![("kty", json!("EC")), ("crv", json!("P-256")), ("x", text(x)), ("y", text(y))]
+            }
+            Pair::Rs256(pair) => {
+                let key = ring::rsa::PublicKeyComponents::<Vec<u8>>::from(pair.public());
+                vec![("kty", json!("RSA")), ("n", text(&key.n)), ("e", text(&key.e))]
+            }
+        };
+        fields.into_iter().map(|(name, value)| (name.to_string(), value)).collect()
+    }
+
+    /// The public half, as it is published.
+    pub fn jwk(&self) -> Map<String, Value> {
+        let mut jwk = self.members();
+        let own = [("kid", self.kid.as_str()), ("use", "sig"), ("alg", self.algorithm.name())];
+        jwk.extend(own.map(|(name, value)| (name.to_string(), json!(value))));
+        jwk
+    }
+
+    /// A token that says this.
+    pub fn token(&self, claims: &Value, random: &dyn SecureRandom) -> Result<String, String> {
+        let header = json!({"alg": self.algorithm.name(), "typ": "JWT", "kid": self.kid});
+        self.sign(&header, claims.to_string().as_bytes(), random)
+    }
+
+    /// A signature over any header and payload.
+    pub fn sign(&self, header: &Value, payload: &[u8], random: &dyn SecureRandom) -> Result<String, String> {
+        let encode = |bytes: &[u8]| BASE64_URL_SAFE_NO_PAD.encode(bytes);
+        let input = format!("{}.{}", encode(header.to_string().as_bytes()), encode(payload));
+        let signature = match &self.pair {
+            Pair::EdDsa(pair) => pair.sign(input.as_bytes()).as_ref().to_vec(),
+            Pair::Es256(pair) => {
+                let signed = pair.sign(random, input.as_bytes());
+                signed.map_err(|_| "no random numbers")?.as_ref().to_vec()
+            }
+            Pair::Rs256(pair) => {
+                let mut signed = vec![0; pair.public().modulus_len()];
+                let made = pair.sign(&RSA_PKCS1_SHA256, random, input.as_bytes(), &mut signed);
+                made.map(|()| signed).map_err(|_| "the key can't sign")?
+            }
+        };
+        Ok(format!("{input}.{}", encode(&signature)))
+    }
+}
--- /dev/null
+++ b/crates/identity/tests/lives.rs
@@ -0,0 +1,274 @@
+//! Lives of keys, tokens and tenants: what is accepted when, and that nothing outlives what it stands on.
+
+mod common;
+use common::*;
+use sagearch_identity::jwks::Algorithm;
+use sagearch_identity::keyring::State;
+use sagearch_identity::settings::*;
+use sagearch_identity::{Authority, Credentials, Now, Reason};
+use serde_json::json;
+
+fn state(authority: &mut Authority, kid: &str, ms: u64) -> Option<State> {
+    let report = authority.report(at(ms));
+    report.issuers[0].keys.iter().find(|key| key.kid == kid).map(|key| key.state)
+}
+
+#[test]
+fn a_key_is_announced_active_retiring_and_retired() {
+    let (old, new) = (signer("old", Algorithm::EdDsa), signer("new", Algorithm::Es256));
+    let secs = |ms: u64| (T0 + ms) / 1_000;
+    let set = published(&[(&old, json!({})), (&new, json!({"nbf": secs(10_000)}))]).unwrap();
+    let mut authority = authority(settings(), &set);
+    let (by_old, by_new) = (token(&old, &claims()), token(&new, &claims()));
+    // Announced: its token is refused until the instant, whatever the leeway of tokens.
+    assert!(ask(&mut authority, &by_old, 0).is_ok());
+    assert_eq!(ask(&mut authority, &by_new, 9_999), Err(Reason::KeyNotActive));
+    assert_eq!(state(&mut authority, "new", 9_999), Some(State::Announced));
+    assert!(ask(&mut authority, &by_new, 10_000).is_ok());
+    // The old one is published no more: 60 s are left, and not one millisecond longer.
+    authority.keys(ISS, Ok(jwks(&[&new])), at(20_000)).unwrap();
+    assert_eq!(state(&mut authority, "old", 20_000), Some(State::Retiring));
+    assert!(ask(&mut authority, &by_old, 79_999).is_ok(), "from the cache as well");
+    assert_eq!(ask(&mut authority, &by_old, 80_000), Err(Reason::KeyRetired));
+    assert_eq!(ask(&mut authority, &by_old, 81_000), Err(Reason::KeyRetired), "retired a second ago");
+    // Published again it stays retired, and so it does where the clock steps back.
+    authority.keys(ISS, Ok(jwks(&[&old, &new])), at(90_000)).unwrap();
+    assert_eq!(ask(&mut authority, &by_old, 90_000), Err(Reason::KeyRetired));
+    let back = |ms| Now { unix: T0 + 1_000, monotonic: at(ms).monotonic };
+    for ms in [90_001, 160_000, 240_000] {
+        let shown = Credentials { bearer: Some(&by_old), certificate: None };
+        assert_eq!(authority.admit(shown, back(ms)), Err(Reason::KeyRetired));
+    }
+}
+
+#[test]
+fn a_key_that_comes_back_in_time_goes_on() {
+    let (one, other) = (signer("one", Algorithm::EdDsa), signer("other", Algorithm::EdDsa));
+    let mut authority = authority(settings(), &jwks(&[&one, &other]));
+    authority.keys(ISS, Ok(jwks(&[&other])), at(1_000)).unwrap();
+    authority.keys(ISS, Ok(jwks(&[&one, &other])), at(30_000)).unwrap();
+    assert_eq!(state(&mut authority, "one", 200_000), Some(State::Active));
+    assert!(ask(&mut authority, &token(&one, &claims()), 200_000).is_ok());
+}
+
+#[test]
+fn a_stated_end_counts_wherever_it_is_stated() {
+    let (by_set, by_file) = (signer("set", Algorithm::EdDsa), signer("file", Algorithm::EdDsa));
+    let set = published(&[(&by_set, json!({"exp": (T0 + 5_000) / 1_000})), (&by_file, json!({}))]).unwrap();
+    let mut told = settings();
+    told.issuers[0].keys =
+        vec![KeyTerms { kid: "file".into(), active_from: Some(T0 + 1_000), retired_at: Some(T0 + 6_000) }];
+    let mut authority = authority(told, &set);
+    let tokens = [token(&by_set, &claims()), token(&by_file, &claims())];
+    let mut both = |ms| tokens.each_ref().map(|token| ask(&mut authority, token, ms).err());
+    assert_eq!(both(999), [None, Some(Reason::KeyNotActive)]);
+    assert_eq!(both(4_999), [None, None]);
+    assert_eq!(both(5_000), [Some(Reason::KeyRetired), None]);
+    assert_eq!(both(6_000), [Some(Reason::KeyRetired), Some(Reason::KeyRetired)]);
+}
+
+/// By the issuer, by the operators, and by neither any more: it is for good.
+#[test]
+fn a_revoked_key_is_refused_at_once_and_for_good() {
+    let (one, other) = (signer("one", Algorithm::EdDsa), signer("other", Algorithm::EdDsa));
+    let mut authority = authority(settings(), &jwks(&[&one, &other]));
+    let tokens = [token(&one, &claims()), token(&other, &claims())];
+    assert!(tokens.iter().all(|token| ask(&mut authority, token, 0).is_ok()));
+    let set =
+        published(&[(&one, json!({"revoked": {"revoked_at": T0 / 1_000}})), (&other, json!({}))]).unwrap();
+    authority.keys(ISS, Ok(set), at(1)).unwrap();
+    assert_eq!(ask(&mut authority, &tokens[0], 1), Err(Reason::KeyRevoked));
+    assert!(ask(&mut authority, &tokens[1], 1).is_ok());
+    let mut told = settings();
+    told.revoked.keys.insert((ISS.into(), "other".into()));
+    authority.renew(told, at(2)).unwrap();
+    assert_eq!(ask(&mut authority, &tokens[1], 2), Err(Reason::KeyRevoked));
+    authority.renew(settings(), at(3)).unwrap();
+    authority.keys(ISS, Ok(jwks(&[&one, &other])), at(3)).unwrap();
+    assert!(tokens.iter().all(|token| ask(&mut authority, token, 3) == Err(Reason::KeyRevoked)));
+}
+
+#[test]
+fn a_new_key_may_take_an_old_ones_name() {
+    let (old, new) = (signer("k", Algorithm::EdDsa), signer("k", Algorithm::EdDsa));
+    let mut authority = authority(settings(), &jwks(&[&old]));
+    authority.keys(ISS, Ok(jwks(&[&new])), at(0)).unwrap();
+    let (by_old, by_new) = (token(&old, &claims()), token(&new, &claims()));
+    assert!(ask(&mut authority, &by_old, 59_999).is_ok() && ask(&mut authority, &by_new, 59_999).is_ok());
+    assert!(ask(&mut authority, &by_old, 60_000).is_err());
+    assert!(ask(&mut authority, &by_new, 60_000).is_ok());
+}
+
+#[test]
+fn a_silent_issuers_keys_hold_until_a_stated_age() {
+    let key = signer("k", Algorithm::EdDsa);
+    let mut told = settings();
+    told.issuers[0].source = url(10_000, 1_000, 120_000);
+    let mut authority = authority(told, &jwks(&[&key]));
+    let token = token(&key, &claims());
+    for ms in [30_000, 60_000] {
+        let broken = authority.keys(ISS, Err("no answer".into()), at(ms));
+        assert!(broken.is_err());
+        assert!(ask(&mut authority, &token, ms).is_ok());
+    }
+    // Nor does a set without a key that can be used take the others away.
+    assert!(authority.keys(ISS, Ok(Default::default()), at(70_000)).is_err());
+    assert!(ask(&mut authority, &token, 119_999).is_ok());
+    assert_eq!(ask(&mut authority, &token, 120_000), Err(Reason::IssuerStale));
+    authority.keys(ISS, Ok(jwks(&[&key])), at(120_001)).unwrap();
+    assert!(ask(&mut authority, &token, 120_001).is_ok(), "silence is no end");
+}
+
+#[test]
+fn unknown_kids_cause_one_lookup_an_interval() {
+    let (key, next) = (signer("k", Algorithm::EdDsa), signer("next", Algorithm::EdDsa));
+    let mut told = settings();
+    told.issuers[0].source = url(3_600_000, 5_000, 7_200_000);
+    let mut authority = Authority::new(told, 7, at(0)).unwrap();
+    assert_eq!(authority.due(at(0)).len(), 1, "the first is due at once");
+    authority.keys(ISS, Ok(jwks(&[&key])), at(10)).unwrap();
+    let flood: Vec<String> =
+        (0..200).map(|n| token(&signer(&format!("u{n}"), Algorithm::EdDsa), &claims())).collect();
+    let mut asked = Vec::new();
+    for ms in (20..20_000).step_by(10) {
+        assert_eq!(ask(&mut authority, &flood[ms as usize % 200], ms), Err(Reason::KeyUnknown));
+        asked.extend(authority.due(at(ms)).iter().map(|_| ms));
+        if asked.last() == Some(&ms) {
+            authority.keys(ISS, Ok(jwks(&[&key])), at(ms)).unwrap();
+        }
+    }
+    assert!((3..=4).contains(&asked.len()) && asked[0] >= 5_000, "{asked:?}");
+    // A kid that was unknown is known once the issuer has told it.
+    let token = token(&next, &claims());
+    assert_eq!(ask(&mut authority, &token, 20_000), Err(Reason::KeyUnknown));
+    authority.keys(ISS, Ok(jwks(&[&key, &next])), at(20_001)).unwrap();
+    assert!(ask(&mut authority, &token, 20_001).is_ok());
+}
+
+#[test]
+fn no_cached_yes_outlives_its_tenant_or_a_revocation() {
+    let key = signer("k", Algorithm::EdDsa);
+    let mut authority = authority(settings(), &jwks(&[&key]));
+    let token = token(&key, &with(json!({"jti": "t-1"})));
+    let taken = ask(&mut authority, &token, 0).unwrap();
+    let change = |authority: &mut Authority, change: &dyn Fn(&mut Settings)| {
+        let mut told = settings();
+        change(&mut told);
+        authority.renew(told, at(1)).unwrap();
+        ask(authority, &token, 1)
+    };
+    assert!(change(&mut authority, &|_| ()).is_ok());
+    let gone = change(&mut authority, &|told| drop(told.tenants.remove(0)));
+    assert_eq!(gone, Err(Reason::NoTenant));
+    // What was taken under it goes on with the rights it was taken with.
+    assert!(taken.may("video", "GET", "guide") && !taken.may("video", "GET", "secret-1"));
+    assert!(change(&mut authority, &|_| ()).is_ok());
+    let jti = |told: &mut Settings| told.revoked.tokens.extend([(ISS.into(), "t-1".into())]);
+    assert_eq!(change(&mut authority, &jti), Err(Reason::Revoked));
+    let who = |told: &mut Settings| told.revoked.principals.extend([("payments".into(), "till-7".into())]);
+    assert_eq!(change(&mut authority, &who), Err(Reason::Revoked));
+    assert_eq!(change(&mut authority, &|told| told.issuers[0].algorithms.clear()), Err(Reason::Algorithm));
+    assert_eq!(change(&mut authority, &|told| told.audiences = vec!["x".into()]), Err(Reason::Audience));
+    let issuer = change(&mut authority, &|told| {
+        told.issuers.clear();
+        told.tenants.iter_mut().for_each(|tenant| tenant.tokens.clear());
+    });
+    assert_eq!(issuer, Err(Reason::IssuerUnknown));
+    assert!(change(&mut authority, &|_| ()).is_ok(), "keys were kept");
+}
+
+#[test]
+fn the_cache_holds_no_more_than_it_may() {
+    let key = signer("k", Algorithm::EdDsa);
+    let told = Settings { cached: 50, ..settings() };
+    let mut authority = authority(told, &jwks(&[&key]));
+    for n in 0..200 {
+        ask(&mut authority, &token(&key, &with(json!({"jti": n.to_string()}))), 0).unwrap();
+    }
+    assert_eq!(authority.report(at(0)).tokens_cached, 50);
+}
+
+#[test]
+fn a_set_beyond_all_bounds_changes_nothing() {
+    let keys: Vec<_> = (0..200).map(|n| signer(&format!("k{n}"), Algorithm::EdDsa)).collect();
+    let parts: Vec<Vec<_>> = keys.chunks(100).map(|part| part.iter().collect()).collect();
+    let mut authority = authority(settings(), &jwks(&parts[0]));
+    authority.keys(ISS, Ok(jwks(&parts[1])), at(1)).unwrap();
+    let more: Vec<_> = (200..540).map(|n| signer(&format!("k{n}"), Algorithm::EdDsa)).collect();
+    let (first, second) = more.split_at(170);
+    authority.keys(ISS, Ok(jwks(&first.iter().collect::<Vec<_>>())), at(2)).unwrap();
+    let error = authority.keys(ISS, Ok(jwks(&second.iter().collect::<Vec<_>>())), at(3)).unwrap_err();
+    assert!(error.contains("over 512"), "{error}");
+    assert!(ask(&mut authority, &token(&first[0], &claims()), 3).is_ok());
+}
+
+#[test]
+fn a_new_process_accepts_nothing_that_the_old_one_refused() {
+    let keys = ["retired", "retiring", "revoked", "active"].map(|kid| signer(kid, Algorithm::EdDsa));
+    let [retired, retiring, revoked, active] = &keys;
+    let all = jwks(&[retired, retiring, revoked, active]);
+    let mut old = authority(settings(), &all);
+    old.keys(ISS, Ok(jwks(&[retiring, revoked, active])), at(0)).unwrap();
+    let mut told = settings();
+    told.revoked.keys.insert((ISS.into(), "revoked".into()));
+    old.renew(told, at(40_000)).unwrap();
+    old.keys(ISS, Ok(jwks(&[revoked, active])), at(40_000)).unwrap();
+    let passed = serde_json::to_string(&old.hand_over(at(61_000))).unwrap();
+    // The new one reads an older file, whose keys are all there, under a clock that is behind.
+    let behind = |ms: u64| Now { unix: T0 + ms - 30_000, monotonic: ms };
+    let mut new = Authority::new(settings(), 9, behind(61_000)).unwrap();
+    new.take_over(serde_json::from_str(&passed).unwrap(), behind(61_000));
+    new.keys(ISS, Ok(all), behind(61_000)).unwrap();
+    let mut ask = |key, ms| {
+        let token = token(key, &claims());
+        new.admit(Credentials { bearer: Some(&token), certificate: None }, behind(ms)).err()
+    };
+    assert_eq!(ask(retired, 61_001), Some(Reason::KeyRetired));
+    assert_eq!(ask(revoked, 61_001), Some(Reason::KeyRevoked));
+    assert_eq!((ask(retiring, 99_000), ask(active, 99_000)), (None, None));
+    assert_eq!((ask(retiring, 100_001), ask(active, 100_001)), (Some(Reason::KeyRetired), None));
+}
+
+#[test]
+fn networks_lead_to_tenants_by_the_longest_prefix() {
+    let authority = Authority::new(settings(), 7, at(0)).unwrap();
+    let tenant = |ip: &str| authority.network(ip.parse().unwrap()).map(|caller| caller.tenant.to_string());
+    assert_eq!(tenant("10.2.3.4").unwrap(), "payments");
+    assert_eq!(tenant("10.1.3.4").unwrap(), "guides");
+    assert_eq!(tenant("::ffff:10.1.3.4").unwrap(), "guides");
+    assert_eq!(tenant("2001:db8::1").unwrap(), "payments");
+    assert_eq!(tenant("192.0.2.1"), Err(Reason::NoTenant));
+}
+
+#[test]
+fn settings_that_contradict_themselves_change_nothing() {
+    let key = signer("k", Algorithm::EdDsa);
+    let mut authority = authority(settings(), &jwks(&[&key]));
+    type Change = dyn Fn(&mut Settings);
+    let faults: [(&Change, &str); 7] = [
+        (&|told| told.tenants[1].name = "payments".into(), "stands twice"),
+        (&|told| told.tenants[1].tokens = told.tenants[0].tokens.clone(), "another's already"),
+        (&|told| told.tenants[1].networks = told.tenants[0].networks.clone(), "another's already"),
+        (&|told| told.tenants[1].certificates = told.tenants[0].certificates.clone(), "another's already"),
+        (&|told| told.issuers.clear(), "is not in the file"),
+        (&|told| told.audiences.clear(), "no audience"),
+        (&|told| told.anonymous = Some("nobody".into()), "is not in the file"),
+    ];
+    for (change, cause) in faults {
+        let mut told = settings();
+        change(&mut told);
+        let error = authority.renew(told, at(1)).unwrap_err();
+        assert!(error.contains(cause), "{error}");
+        assert!(ask(&mut authority, &token(&key, &claims()), 1).is_ok());
+    }
+    assert_eq!(authority.report(at(1)).version, 1);
+}
+
+#[test]
+fn who_shows_nothing_is_refused_unless_the_file_names_a_tenant() {
+    let mut authority = Authority::new(settings(), 7, at(0)).unwrap();
+    assert_eq!(authority.admit(Credentials::default(), at(0)), Err(Reason::Missing));
+    authority.renew(Settings { anonymous: Some("guides".into()), ..settings() }, at(0)).unwrap();
+    assert_eq!(&*authority.admit(Credentials::default(), at(0)).unwrap().tenant, "guides");
+    assert!(ask(&mut authority, "x", 0).is_err(), "a bad token is not made good by that");
+}
--- /dev/null
+++ b/crates/identity/tests/properties.rs
@@ -0,0 +1,83 @@
+//! Whatever comes, the parsers neither panic nor grow, and rules decide as a plain reading of them does.
+
+mod common;
+use common::*;
+use proptest::prelude::*;
+use sagearch_identity::jwks::{Algorithm, KeySet};
+use sagearch_identity::rights::{Method, Rights, Rule, Texts};
+use sagearch_identity::token::{Claims, Signed};
+use sagearch_identity::{Presented, Reason};
+use std::sync::LazyLock;
+
+/// A good token and a good set, for changes at random.
+static GOOD: LazyLock<(String, String, KeySet)> = LazyLock::new(|| {
+    let key = signer("k1", Algorithm::EdDsa);
+    let set = serde_json::json!({"keys": [key.jwk()]}).to_string();
+    (token(&key, &claims()), set, jwks(&[&key]))
+});
+
+fn rules() -> impl Strategy<Value = Vec<Rule>> {
+    let word = || prop_oneof![Just("a"), Just("b"), Just("ab"), Just("")].prop_map(str::to_string);
+    let method = prop_oneof![Just(Method::Get), Just(Method::Put), Just(Method::Lookup)];
+    let rule =
+        (any::<bool>(), prop::collection::vec(word(), 0..3), prop::collection::vec(method, 0..3), word());
+    let rule = rule.prop_map(|(allow, classes, methods, prefix)| Rule { allow, classes, methods, prefix });
+    prop::collection::vec(rule, 0..12)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn bytes_of_any_kind_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..600)) {
+        let _ = KeySet::parse(&bytes);
+        let _ = Claims::parse(&bytes);
+        let _ = Presented::read(&[bytes.clone().into()]);
+        let _ = Signed::parse(&String::from_utf8_lossy(&bytes)).map(|signed| signed.claims());
+    }
+
+    #[test]
+    fn deep_and_long_json_is_refused(depth in 1_usize..5_000, open in prop_oneof![Just("["), Just("{\"a\":")]) {
+        prop_assert!(Claims::parse(open.repeat(depth).as_bytes()).is_err());
+        let set = "{\"keys\":".to_string() + &open.repeat(depth);
+        prop_assert!(KeySet::parse(set.as_bytes()).is_err());
+    }
+
+    /// One changed character is enough. In the last one of a part some bits may be spare, and those must be zero.
+    #[test]
+    fn no_changed_token_is_taken(place in any::<prop::sample::Index>(), to in "[A-Za-z0-9_.=-]") {
+        let (token, _, set) = &*GOOD;
+        let at = place.index(token.len());
+        let mut changed = token.clone();
+        changed.replace_range(at..=at, &to);
+        let mut authority = authority(settings(), set);
+        prop_assert_eq!(ask(&mut authority, &changed, 0).is_ok(), changed == *token);
+    }
+
+    #[test]
+    fn a_set_that_is_cut_anywhere_is_turned_down(place in any::<prop::sample::Index>()) {
+        let (_, set, _) = &*GOOD;
+        prop_assert!(KeySet::parse(&set.as_bytes()[..place.index(set.len())]).is_err());
+    }
+
+    #[test]
+    fn the_first_rule_that_fits_counts(
+        rules in rules(), class in "[ab]{0,2}", object in "[ab]{0,3}", method in "GET|PUT|LOOKUP|DELETE|get",
+    ) {
+        let fits = |rule: &&Rule| {
+            (rule.classes.is_empty() || rule.classes.contains(&class))
+                && Method::of(&method).is_some_and(|m| rule.methods.is_empty() || rule.methods.contains(&m))
+                && object.starts_with(&rule.prefix)
+        };
+        let want = rules.iter().find(fits).is_some_and(|rule| rule.allow);
+        let rights = Rights::new(&rules, &mut Texts::default());
+        prop_assert_eq!(rights.allow(&class, &method, &object), want);
+    }
+}
+
+#[test]
+fn a_reason_tells_clients_little_and_operators_one_word() {
+    let labels: std::collections::BTreeSet<&str> = Reason::ALL.iter().map(|reason| reason.label()).collect();
+    assert_eq!(labels.len(), Reason::ALL.len());
+    assert!(Reason::ALL.iter().all(|reason| matches!(reason.status(), 401 | 403 | 503)));
+}
--- /dev/null
+++ b/crates/identity/tests/tokens.rs
@@ -0,0 +1,177 @@
+//! Tokens: the published vectors, and what a token must be to be taken.
+
+mod common;
+use common::*;
+use ring::rand::SystemRandom;
+use rstest::rstest;
+use sagearch_identity::jwks::{Algorithm, KeySet};
+use sagearch_identity::token::{LONGEST, Signed};
+use sagearch_identity::{Proof, Reason};
+use serde_json::{Value, json};
+
+const RSA_N: &str = "ofgWCuLjybRlzo0tZWJjNiuSfb4p4fAkd_wWJcyQoTbji9k0l8W26mPddxHmfHQp-Vaw-4qPCJrcS2mJPMEzP1Pt0Bm4d4QlL-yRT-SFd2lZS-pCgNMsD1W_YpRPEwOWvG6b32690r2jZ47soMZo9wGzjb_7OMg0LOL-bSf63kpaSHSXndS5z5rexMdbBYUsLA9e-KXBdQOS-UTo7WTBEMa2R2CapHg665xsmtdVMTBQY4uDZlxvb3qCo5ZwKh9kG4LT6_I5IhlJH7aGhyxXFvUK-DWNmoudF8NAco9_h9iaGNj8q2ethFkMLs91kzk2PAcDTW9gb54h4FRWyuXpoQ";
+const CLAIMS: &str =
+    "eyJpc3MiOiJqb2UiLA0KICJleHAiOjEzMDA4MTkzODAsDQogImh0dHA6Ly9leGFtcGxlLmNvbS9pc19yb290Ijp0cnVlfQ";
+
+/// RFC 7515, appendices A.2 and A.3, and RFC 8037, appendix A.4.
+#[rstest]
+#[case::rs256(
+    json!({"kty": "RSA", "n": RSA_N, "e": "AQAB"}),
+    format!("eyJhbGciOiJSUzI1NiJ9.{CLAIMS}.cC4hiUPoj9Eetdgtv3hF80EGrhuB__dzERat0XF9g2VtQgr9PJbu3XOiZj5RZmh7AAuHIm4Bh-0Qc_lF5YKt_O8W2Fp5jujGbds9uJdbF9CUAr7t1dnZcAcQjbKBYNX4BAynRFdiuB--f_nZLgrnbyTyWzO75vRK5h6xBArLIARNPvkSjtQBMHlb1L07Qe7K0GarZRmB_eSN9383LcOLn6_dO--xi12jzDwusC-eOkHWEsqtFZESc6BfI7noOPqvhJ1phCnvWh6IeYI2w9QOYEUipUTI8np6LbgGY9Fs98rqVt5AXLIhWkWywlVmtVrBp0igcN_IoypGlUPQGe77Rw")
+)]
+#[case::es256(
+    json!({"kty": "EC", "crv": "P-256", "x": "f83OJ3D2xF1Bg8vub9tLe1gHMzV76e8Tus9uPHvRVEU",
+        "y": "x_FEzRu9m36HLN_tue659LNpXW6pCyStikYjKIWI5a0"}),
+    format!("eyJhbGciOiJFUzI1NiJ9.{CLAIMS}.DtEhU3ljbEg8L38VWAfUAqOyKAM6-Xx-F4GawxaepmXFCgfTjDxw5djxLa8ISlSApmWQxfKTUJqPP3-Kg6NU1Q")
+)]
+#[case::eddsa(
+    json!({"kty": "OKP", "crv": "Ed25519", "x": "11qYAYKxCrfVS_7TyWQHOg7hcvPapiMlrwIaaPcHURo"}),
+    "eyJhbGciOiJFZERTQSJ9.RXhhbXBsZSBvZiBFZDI1NTE5IHNpZ25pbmc.hgyY0il_MGCjP0JzlnLWG1PPOt7-09PGcvMg3AIbQR6dWbhijcNR4ki4iylGjg5BhVsPt9g7sVvpAr_MuM0KAg".into()
+)]
+fn the_published_signatures_verify_and_no_changed_one_does(#[case] jwk: Value, #[case] token: String) {
+    let set = KeySet::parse(json!({"keys": [jwk]}).to_string().as_bytes()).unwrap();
+    let signed = Signed::parse(&token).unwrap();
+    let key = &set.keys[0].key;
+    assert_eq!(key.algorithm, signed.algorithm);
+    assert!(key.verifies(signed.input, &signed.signature));
+    for at in [0, signed.signature.len() - 1] {
+        let mut spoilt = signed.signature.clone();
+        spoilt[at] ^= 1;
+        assert!(!key.verifies(signed.input, &spoilt));
+    }
+    assert!(!key.verifies(&signed.input[1..], &signed.signature));
+    assert!(!key.verifies(signed.input, &[]));
+}
+
+/// RFC 8037, appendix A.3.
+#[test]
+fn a_key_without_a_name_is_called_by_its_thumbprint() {
+    let jwk = json!({"kty": "OKP", "crv": "Ed25519", "x": "11qYAYKxCrfVS_7TyWQHOg7hcvPapiMlrwIaaPcHURo"});
+    let set = KeySet::parse(json!({"keys": [jwk]}).to_string().as_bytes()).unwrap();
+    assert_eq!(set.keys[0].key.kid, "kPrK_qmxVWaYVA9wwBF6Iuo3vVzz7TxHCTwXBygrS4k");
+}
+
+/// RFC 7515, appendices A.1, A.4 and A.5, and others that must not even be looked at.
+#[rstest]
+#[case::hs256(&format!("eyJ0eXAiOiJKV1QiLA0KICJhbGciOiJIUzI1NiJ9.{CLAIMS}.dBjftJeZ4CVP-mB92K27uhbUJU1p1r_wW1gFWFOEjXk"), Reason::Algorithm)]
+#[case::es512("eyJhbGciOiJFUzUxMiJ9.UGF5bG9hZA.AdwM", Reason::Algorithm)]
+#[case::none(&format!("eyJhbGciOiJub25lIn0.{CLAIMS}."), Reason::Algorithm)]
+#[case::two_parts("eyJhbGciOiJFZERTQSJ9.e30", Reason::Malformed)]
+#[case::four_parts("eyJhbGciOiJFZERTQSJ9.e30.AA.AA", Reason::Malformed)]
+#[case::padded("eyJhbGciOiJFZERTQSJ9.e30=.AA", Reason::Malformed)]
+#[case::bits_left_over("eyJhbGciOiJFZERTQSJ9.e30.AB", Reason::Malformed)]
+#[case::empty("..", Reason::Malformed)]
+#[case::too_long(&"a".repeat(LONGEST + 1), Reason::TooLarge)]
+fn other_tokens_are_not_read(#[case] token: &str, #[case] reason: Reason) {
+    assert_eq!(Signed::parse(token).unwrap_err(), reason);
+}
+
+#[rstest]
+#[case::critical(json!({"alg": "EdDSA", "kid": "k1", "crit": ["exp"], "exp": 1}), Reason::Critical)]
+#[case::empty_critical(json!({"alg": "EdDSA", "kid": "k1", "crit": []}), Reason::Critical)]
+#[case::unencoded(json!({"alg": "EdDSA", "kid": "k1", "b64": false}), Reason::Critical)]
+#[case::other_kind(json!({"alg": "EdDSA", "kid": "k1", "typ": "secevent+jwt"}), Reason::Type)]
+#[case::kid_is_a_number(json!({"alg": "EdDSA", "kid": 1}), Reason::Malformed)]
+#[case::other_kid(json!({"alg": "EdDSA", "kid": "k9"}), Reason::KeyUnknown)]
+#[case::the_keys_own_algorithm_counts(json!({"alg": "ES256", "kid": "k1"}), Reason::Algorithm)]
+#[case::nested(json!({"alg": "EdDSA", "kid": "k1", "x": {"y": {"z": {}}}}), Reason::Malformed)]
+fn a_header_must_be_plain(#[case] header: Value, #[case] reason: Reason) {
+    let (key, other) = (signer("k1", Algorithm::EdDsa), signer("k2", Algorithm::EdDsa));
+    let mut authority = authority(settings(), &jwks(&[&key, &other]));
+    let token = key.sign(&header, claims().to_string().as_bytes(), &SystemRandom::new()).unwrap();
+    assert_eq!(ask(&mut authority, &token, 0), Err(reason));
+}
+
+#[rstest]
+#[case::as_it_should_be(json!({}), 0, None)]
+#[case::one_of_two_audiences(json!({"aud": ["other", "gateway"]}), 0, None)]
+#[case::a_list_of_groups(json!({"tenant": ["x", "payments"]}), 0, None)]
+#[case::within_the_leeway(json!({}), 629_999, None)]
+#[case::over(json!({}), 630_000, Some(Reason::Expired))]
+#[case::to_come(json!({"nbf": T0 / 1_000 + 31}), 0, Some(Reason::NotYetValid))]
+#[case::nearly_there(json!({"nbf": T0 / 1_000 + 30}), 0, None)]
+#[case::made_tomorrow(json!({"iat": T0 / 1_000 + 31}), 0, Some(Reason::IssuedInFuture))]
+#[case::for_ever(json!({"exp": T0 / 1_000 + 864_000}), 0, Some(Reason::TooLong))]
+#[case::no_end(json!({"exp": null}), 0, Some(Reason::Malformed))]
+#[case::end_in_words(json!({"exp": "tomorrow"}), 0, Some(Reason::Malformed))]
+#[case::negative_end(json!({"exp": -1}), 0, Some(Reason::Malformed))]
+#[case::for_others(json!({"aud": "other"}), 0, Some(Reason::Audience))]
+#[case::for_nobody(json!({"aud": null}), 0, Some(Reason::Audience))]
+#[case::by_others(json!({"iss": "https://other.example"}), 0, Some(Reason::IssuerUnknown))]
+#[case::by_nobody(json!({"iss": null}), 0, Some(Reason::Malformed))]
+#[case::no_principal(json!({"sub": null}), 0, Some(Reason::Malformed))]
+#[case::no_tenant(json!({"tenant": "nobody"}), 0, Some(Reason::NoTenant))]
+#[case::two_tenants(json!({"tenant": ["payments", "guides"]}), 0, Some(Reason::NoTenant))]
+fn claims_are_checked(#[case] change: Value, #[case] ms: u64, #[case] refused: Option<Reason>) {
+    for algorithm in [Algorithm::EdDsa, Algorithm::Es256] {
+        let key = signer("k1", algorithm);
+        let mut authority = authority(settings(), &jwks(&[&key]));
+        let token = token(&key, &with(change.clone()));
+        // The second time it comes from the cache, if it was taken.
+        for _ in 0..2 {
+            match (ask(&mut authority, &token, ms), refused) {
+                (Ok(caller), None) => {
+                    assert_eq!((&*caller.tenant, &*caller.principal), ("payments", "till-7"));
+                    assert_eq!(caller.proof, Proof::Token);
+                }
+                (got, want) => assert_eq!(got.err(), want),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_claim_that_stands_twice_is_refused() {
+    let key = signer("k1", Algorithm::EdDsa);
+    let mut authority = authority(settings(), &jwks(&[&key]));
+    let twice = claims().to_string().replacen('{', "{\"tenant\":\"guides\",", 1);
+    let header = json!({"alg": "EdDSA", "kid": "k1"});
+    let token = key.sign(&header, twice.as_bytes(), &SystemRandom::new()).unwrap();
+    assert_eq!(ask(&mut authority, &token, 0), Err(Reason::Malformed));
+}
+
+#[test]
+fn another_keys_signature_is_refused_also_under_a_good_kid() {
+    let (key, thief) = (signer("k1", Algorithm::EdDsa), signer("k1", Algorithm::EdDsa));
+    let mut authority = authority(settings(), &jwks(&[&key]));
+    assert_eq!(ask(&mut authority, &token(&thief, &claims()), 0), Err(Reason::Signature));
+    assert!(ask(&mut authority, &token(&key, &claims()), 0).is_ok());
+}
+
+#[rstest]
+#[case::cut_off(r#"{"keys":[{"kty":"OKP""#, "not JSON")]
+#[case::doubled(r#"{"keys":[]}{"keys":[]}"#, "more than one document")]
+#[case::twice_keys(r#"{"keys":[],"keys":[]}"#, "a member stands twice")]
+#[case::no_keys(r#"{}"#, "keys is missing")]
+#[case::no_object(r#"{"keys":[1]}"#, "key 0: not an object")]
+#[case::short(r#"{"keys":[{"kty":"OKP","crv":"Ed25519","x":"AAAA"}]}"#, "key 0: x has 3 bytes")]
+#[case::no_y(
+    r#"{"keys":[{"kty":"EC","crv":"P-256","x":"f83OJ3D2xF1Bg8vub9tLe1gHMzV76e8Tus9uPHvRVEU"}]}"#,
+    "key 0: y is missing"
+)]
+#[case::private(
+    r#"{"keys":[{"kty":"OKP","crv":"Ed25519","d":"x","x":"11qYAYKxCrfVS_7TyWQHOg7hcvPapiMlrwIaaPcHURo"}]}"#,
+    "private half"
+)]
+#[case::small_rsa(r#"{"keys":[{"kty":"RSA","n":"ofgW","e":"AQAB"}]}"#, "24 bits")]
+fn a_broken_set_is_turned_down_whole(#[case] text: &str, #[case] cause: &str) {
+    let error = KeySet::parse(text.as_bytes()).unwrap_err();
+    assert!(error.contains(cause), "{error}");
+}
+
+#[test]
+fn keys_of_other_kinds_are_passed_over_and_of_one_kid_there_is_one() {
+    let (one, other) = (signer("k1", Algorithm::EdDsa), signer("k1", Algorithm::EdDsa));
+    let twice = published(&[(&one, json!({})), (&one, json!({}))]).unwrap();
+    assert_eq!(twice.keys.len(), 1, "the same key said twice");
+    let error = published(&[(&one, json!({})), (&other, json!({}))]).unwrap_err();
+    assert!(error.contains("key 1: its kid is another key's"), "{error}");
+    let odd =
+        [json!({"use": "enc"}), json!({"key_ops": ["sign"]}), json!({"alg": "PS256"}), json!({"kty": "oct"})];
+    for more in odd {
+        let set = published(&[(&one, more)]).unwrap();
+        assert_eq!((set.keys.len(), set.passed_over), (0, 1));
+    }
+    let many: Vec<Value> = (0..10_000).map(|at| json!({"kty": "oct", "kid": at.to_string()})).collect();
+    assert!(KeySet::parse(json!({"keys": many}).to_string().as_bytes()).is_err());
+}
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -8,8 +8,10 @@
 
 use crate::interface::*;
 use crate::{Learned, Router};
+use sagearch_identity::Caller;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::sync::Arc;
 
 /// Purges that are held against attempts picked before them but not yet written.
 const PURGES_KEPT: usize = 256;
@@ -25,6 +27,8 @@
     pub timeout: Micros,
     pub fill: Option<Fill>,
     pub picked: Micros,
+    /// Who the request is carried out for.
+    pub caller: Arc<Caller>,
 }
 
 /// What is to be done about a request.
@@ -82,6 +86,8 @@
 
 struct Entry<W> {
     waiter: W,
+    /// Forgotten with the request.
+    caller: Arc<Caller>,
     attempts: u32,
     out: Option<Out>,
     object: String,
@@ -158,20 +164,26 @@
         self.drained
     }
 
+    /// Who an open request is carried out for.
+    pub fn caller(&self, id: RequestId) -> Option<Arc<Caller>> {
+        self.open.get(&id).map(|entry| entry.caller.clone())
+    }
+
     /// Requests that have no final verdict yet.
     pub fn open(&self) -> usize {
         self.open.len()
     }
 
-    /// Takes a request in. `None`: the verdict comes to the waiter.
-    pub fn pick(&mut self, now: Micros, request: Request, waiter: W) -> Option<Verdict> {
+    /// Takes a request in, for a caller who has been found to have the right to it. `None`: the verdict comes to
+    /// the waiter.
+    pub fn pick(&mut self, now: Micros, request: Request, caller: Arc<Caller>, waiter: W) -> Option<Verdict> {
         let id = request.id;
         // An id that is open already would take over the other's entry and leave that one unanswered.
         if self.open.contains_key(&id) {
             return Some(Verdict::Failed);
         }
         let (object, group) = (request.object.clone(), request.purge_group);
-        self.open.insert(id, Entry { waiter, attempts: 0, out: None, object, group });
+        self.open.insert(id, Entry { waiter, caller, attempts: 0, out: None, object, group });
         let verdict = self.drive(now, Event::Request(request));
         self.settle(id, verdict.as_ref());
         verdict
@@ -311,7 +323,8 @@
                     entry.attempts += 1;
                     entry.out = Some(Out { attempt, member, sent: now });
                     self.timers.push(Reverse((now + timeout, Due::Attempt(request, attempt))));
-                    let order = Order { request, attempt, member, timeout, fill, picked: now };
+                    let caller = entry.caller.clone();
+                    let order = Order { request, attempt, member, timeout, fill, picked: now, caller };
                     verdict = Some(Verdict::Attempt(order));
                 }
                 Action::Refuse { backoff, .. } => verdict = Some(Verdict::Refused { backoff }),
--- a/src/consensus.rs
+++ b/src/consensus.rs
@@ -6,7 +6,7 @@
 //! connections and its clock. All of it runs on threads of its own: a disk may keep them waiting, and the
 //! gateway's worker must not wait.
 
-use crate::config::Raft;
+use crate::operators::fronts::Raft;
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, EntryType, HardState, Message};
 use raft::storage::MemStorage;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,7 +51,9 @@
 mod hash;
 pub mod interface;
 pub mod log;
+pub mod metrics;
 pub mod net;
+pub mod operators;
 pub mod settings;
 #[doc(hidden)]
 pub mod wire;
--- a/src/log.rs
+++ b/src/log.rs
@@ -1,41 +1,76 @@
-//! The gateway's own logger: a line a record on standard error, stamped with Unix milliseconds.
+//! Structured logging on `tracing`: a line a record on standard error, as text with `key=value` or as JSON.
+//!
+//! Records by the `log` facade, ours and the libraries', come the same way. No credential ever goes in: types that
+//! hold one don't show it (`net::http::Secret`), and `tests/identity.rs` reads the logs for them.
 
-use log::{LevelFilter, Log, Metadata, Record};
-use std::io::Write;
-use std::time::{SystemTime, UNIX_EPOCH};
+use log::LevelFilter;
+use std::io::{self, Write};
+use tracing_subscriber::filter::Targets;
+use tracing_subscriber::fmt::MakeWriter;
+use tracing_subscriber::prelude::*;
 
-struct Logger;
+/// How records are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Format {
+    /// Time, level, target, message, key=value
+    #[default]
+    Text,
+    /// One JSON object a line
+    Json,
+}
 
-impl Log for Logger {
-    fn enabled(&self, metadata: &Metadata) -> bool {
-        // Libraries speak up only when something is wrong.
-        metadata.target().starts_with("sagearch") || metadata.level() <= log::Level::Warn
-    }
+/// Standard error. A record is one line whatever it holds, and a closed standard error takes nothing down.
+struct Lines;
 
-    fn log(&self, record: &Record) {
-        if self.enabled(record.metadata()) {
-            let line = line(now_ms(), record);
-            // A closed standard error must not take the gateway down.
-            let _ = std::io::stderr().write_all(line.as_bytes());
-        }
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let _ = io::stderr().write_all(&one_line(bytes));
+        Ok(bytes.len())
     }
 
-    fn flush(&self) {}
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
-fn now_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+impl<'a> MakeWriter<'a> for Lines {
+    type Writer = Lines;
+
+    fn make_writer(&'a self) -> Lines {
+        Lines
+    }
 }
 
-fn line(ms: u128, record: &Record) -> String {
-    let text = record.args().to_string().replace(['\n', '\r'], " ");
-    format!("{ms} {} {}: {text}\n", record.level(), record.target())
+/// Line breaks within a record would let a name forge the next one.
+fn one_line(record: &[u8]) -> Vec<u8> {
+    let (last, inner) = record.split_last().map_or((None, record), |(last, inner)| match last {
+        b'\n' => (Some(b'\n'), inner),
+        _ => (None, record),
+    });
+    let plain = |byte: &u8| if *byte < b' ' { b' ' } else { *byte };
+    inner.iter().map(plain).chain(last).collect()
 }
 
-/// Installs the logger. A second call changes the level only.
-pub fn start(level: LevelFilter) {
-    static LOGGER: Logger = Logger;
-    let _ = log::set_logger(&LOGGER);
+/// Installs the logger, once in a process.
+pub fn start(level: LevelFilter, format: Format) {
+    use tracing_subscriber::filter::LevelFilter as Level;
+    let ours = match level {
+        LevelFilter::Off => Level::OFF,
+        LevelFilter::Error => Level::ERROR,
+        LevelFilter::Warn => Level::WARN,
+        LevelFilter::Info => Level::INFO,
+        LevelFilter::Debug => Level::DEBUG,
+        LevelFilter::Trace => Level::TRACE,
+    };
+    // Libraries speak up only when something is wrong.
+    let filter = Targets::new().with_default(ours.min(Level::WARN)).with_target("sagearch", ours);
+    let lines =
+        tracing_subscriber::fmt::layer().with_writer(Lines).with_ansi(false).log_internal_errors(false);
+    let registry = tracing_subscriber::registry().with(filter);
+    let _ = match format {
+        Format::Text => registry.with(lines).try_init(),
+        Format::Json => registry.with(lines.json().flatten_event(true)).try_init(),
+    };
     log::set_max_level(level);
 }
 
@@ -45,11 +80,8 @@
 
     #[test]
     fn a_record_is_one_line_whatever_it_holds() {
-        let record = Record::builder()
-            .level(log::Level::Warn)
-            .target("sagearch::net::bus")
-            .args(format_args!("a\r\nb"))
-            .build();
-        assert_eq!(line(7, &record), "7 WARN sagearch::net::bus: a  b\n");
+        assert_eq!(one_line(b"a\r\nb\x1b[0m\n"), b"a  b [0m\n");
+        assert_eq!(one_line(b"no end"), b"no end");
+        assert_eq!(one_line(b""), b"");
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,9 @@
 use log::LevelFilter;
 use sagearch::config::{self, Config};
 use sagearch::consensus;
+use sagearch::log::Format;
 use sagearch::net::{self, gateway::Gateway, signal};
+use sagearch::operators::identity::Identity;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -21,15 +23,15 @@
     /// The configuration, instead of what NODE_CONFIG names
     #[arg(long, global = true, value_name = "FILE")]
     config: Option<PathBuf>,
-    /// The name front's file; without one, or without a listen address in it, that front is off
-    #[arg(long, global = true, value_name = "FILE", default_value = "deploy/dns.json")]
-    dns: PathBuf,
-    /// The file of the group that agrees on the name front's routes; without one, nothing is agreed on
-    #[arg(long, global = true, value_name = "FILE", default_value = "deploy/raft.json")]
-    raft: PathBuf,
+    /// The operators' file: what the platform does not know. Without one, all in it is off
+    #[arg(long, global = true, value_name = "FILE", default_value = "deploy/gateway.kdl")]
+    operators: PathBuf,
     /// How much is logged: off, error, warn, info, debug or trace
     #[arg(long, global = true, default_value = "info")]
     log: LevelFilter,
+    /// How it is written
+    #[arg(long, global = true, value_enum, default_value_t)]
+    log_format: Format,
 }
 
 #[derive(Subcommand)]
@@ -40,7 +42,7 @@
     Version,
     /// Read and check the configuration, and say what it holds
     CheckConfig,
-    /// Have the group agree on new routes of the name front: `deadline_ms` and `sources`, as in its file
+    /// Have the group agree on new routes of the name front: `deadline` and `source`s, as in the operators' file
     Propose {
         /// Where an instance of the group listens
         #[arg(long, value_name = "ADDRESS")]
@@ -72,8 +74,8 @@
 }
 
 fn run(cli: Cli) -> Result<(), String> {
-    let Cli { command, config, dns, raft, .. } = cli;
-    let read = move || config::read(config.as_deref(), &dns, &raft).map_err(|e| e.to_string());
+    let Cli { command, config, operators, .. } = cli;
+    let read = move || config::read(config.as_deref(), &operators).map_err(|e| e.to_string());
     match command {
         None | Some(Command::Serve) => serve(read),
         Some(Command::Version) => {
@@ -90,16 +92,24 @@
             let config = read()?;
             println!("{} listens on {}, its event bus is {}", config.name, config.listen, config.bus);
             println!("{} events are known, {} descriptors", config.known.batch.len(), config.sockets);
-            match &config.dns {
+            let operators = config.operators.as_ref().map_err(String::clone)?;
+            match &operators.dns {
                 Some(dns) => println!("names under {} are answered on {}", dns.domain, dns.listen),
                 None => println!("the name front is off"),
             }
-            match &config.raft {
+            match &operators.raft {
                 Some(raft) => {
                     println!("instance {} of {} agrees on its routes", raft.id, raft.peers.len() + 1)
                 }
                 None => println!("its routes are this instance's own"),
             }
+            match &operators.identity {
+                Some(Identity { settings, .. }) => {
+                    let (issuers, tenants) = (settings.issuers.len(), settings.tenants.len());
+                    println!("callers are told apart: {issuers} issuers, {tenants} tenants");
+                }
+                None => println!("callers are not told apart"),
+            }
             Ok(())
         }
     }
@@ -107,7 +117,7 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    sagearch::log::start(cli.log);
+    sagearch::log::start(cli.log, cli.log_format);
     match run(cli) {
         Ok(()) => ExitCode::SUCCESS,
         Err(cause) => {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -5,10 +5,12 @@
 
 use super::gateway::Shared;
 use super::handover::{Intent, Keeper};
-use super::http::{Answer, Bad};
+use super::http::{Answer, Bad, Secret, turned_away};
 use super::lock;
+use super::tls::{Secure, Terms};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
+use sagearch_identity::{Credentials, Reason};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
@@ -27,11 +29,21 @@
 #[derive(Clone, Debug, PartialEq)]
 enum Call {
     Ready,
+    /// Keys of issuers, and their lives.
+    Keys,
+    Metrics,
     Change(Intent),
 }
 
+/// A call, and what its caller shows.
+#[derive(Debug, PartialEq)]
+struct Asked {
+    call: Call,
+    bearer: Option<Secret>,
+}
+
 /// Reads a call. `None`: more is to come.
-fn call(buffer: &[u8]) -> Result<Option<Call>, Bad> {
+fn call(buffer: &[u8]) -> Result<Option<Asked>, Bad> {
     let mut fields = [httparse::EMPTY_HEADER; MOST_FIELDS];
     let mut request = httparse::Request::new(&mut fields);
     let head = match request.parse(buffer) {
@@ -40,7 +52,7 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Err(Bad(431, "the head is too large")),
         Err(_) => return Err(Bad(400, "not an HTTP request")),
     };
-    let mut length = 0;
+    let (mut length, mut bearer) = (0, None);
     for field in request.headers.iter() {
         if field.name.eq_ignore_ascii_case("transfer-encoding") {
             return Err(Bad(400, "calls have no coded body"));
@@ -49,11 +61,17 @@
             let told = std::str::from_utf8(field.value).ok().and_then(|text| text.trim().parse().ok());
             length = told.filter(|length| *length <= LARGEST).ok_or(Bad(400, "Content-Length"))?;
         }
+        if field.name.eq_ignore_ascii_case("authorization") {
+            let text = std::str::from_utf8(field.value).unwrap_or_default();
+            bearer = Some(Secret::bearer(text.trim(), bearer.as_ref()));
+        }
     }
     let (method, path) = (request.method.unwrap_or_default(), request.path.unwrap_or_default());
     let words: Vec<&str> = path.split('?').next().unwrap_or_default().split('/').collect();
     let (allowed, call) = match words[..] {
         ["", "v1", "readyz"] => ("GET", Call::Ready),
+        ["", "v1", "identity", "keys"] => ("GET", Call::Keys),
+        ["", "v1", "metrics"] => ("GET", Call::Metrics),
         ["", "v1", "stores", id, "suspend"] => ("POST", Call::Change(Intent::TakeOut(id.into()))),
         ["", "v1", "stores", id, "resume"] => ("POST", Call::Change(Intent::PutBack(id.into()))),
         ["", "v1", "gateway", "drain"] => ("POST", Call::Change(Intent::Drain(true))),
@@ -63,12 +81,38 @@
     if method != allowed {
         return Err(Bad(405, allowed));
     }
-    Ok((buffer.len() >= head + length).then_some(call))
+    Ok((buffer.len() >= head + length).then_some(Asked { call, bearer }))
+}
+
+/// Whether the caller may: everyone may ask whether the gateway is ready, and the rest is for operators, where the
+/// file names any.
+fn allowed(shared: &Shared, call: &Call, shown: Credentials) -> Result<(), Reason> {
+    if *call == Call::Ready {
+        return Ok(());
+    }
+    let Some(operator) = shared.guard.operator(shown)? else { return Ok(()) };
+    match call {
+        Call::Change(intent) if !operator.may_change => {
+            tracing::warn!(operator = %operator.name, ?intent, "operators: no right to change");
+            Err(Reason::RightMissing)
+        }
+        Call::Change(intent) => {
+            tracing::info!(operator = %operator.name, ?intent, "operators: a change");
+            Ok(())
+        }
+        _ => Ok(()),
+    }
 }
 
 fn answer(shared: &Shared, keeper: &Keeper, call: Call) -> Answer {
     let plain = |status, text: &str| Answer::new(status, format!("{text}\n").into());
     match call {
+        Call::Keys => match shared.guard.report().map(|report| serde_json::to_vec(&report)) {
+            Some(Ok(text)) => Answer::new(200, text),
+            Some(Err(e)) => plain(500, &e.to_string()),
+            None => plain(404, "identity is off"),
+        },
+        Call::Metrics => Answer::new(200, shared.guard.metrics_text().into()),
         Call::Ready => match shared.not_ready() {
             None => plain(200, "ready"),
             Some(cause) => plain(503, cause),
@@ -135,13 +179,20 @@
         let caller = Caller { stream: stream.clone(), since: Instant::now(), heard: false };
         lock(&desk.callers).insert(number, caller);
         let (shared, keeper, ours) = (shared.clone(), keeper.clone(), desk.clone());
-        super::spawn(move || {
+        let terms = shared.guard.tls_of_admin();
+        let speaks_tls = terms.is_some();
+        let work = move || {
             let done = super::Defer(|| drop(lock(&ours.callers).remove(&number)));
-            if let Err(e) = serve(&shared, &keeper, &ours, number, &stream) {
+            if let Err(e) = serve(&shared, &keeper, &ours, number, &stream, terms.as_deref()) {
                 log::debug!("operators: {e}");
             }
             drop(done);
-        });
+        };
+        if speaks_tls {
+            super::spawn_tls(work)
+        } else {
+            super::spawn(work)
+        }
         while lock(&desk.callers).len() > PLACES {
             desk.tidy();
             may::coroutine::sleep(NO_DESCRIPTORS);
@@ -149,15 +200,37 @@
     }
 }
 
-fn serve(shared: &Shared, keeper: &Keeper, desk: &Desk, number: u64, stream: &TcpStream) -> io::Result<()> {
+fn serve(
+    shared: &Shared,
+    keeper: &Keeper,
+    desk: &Desk,
+    number: u64,
+    stream: &TcpStream,
+    terms: Option<&Terms>,
+) -> io::Result<()> {
+    let secure = terms.map(Secure::new).transpose()?;
+    if let Some(secure) = &secure {
+        secure.handshake(stream)?;
+    }
     let (mut buffer, mut piece) = (Vec::new(), [0; 2 * 1024]);
     let answer = loop {
         match call(&buffer) {
-            Ok(Some(call)) => break answer(shared, keeper, call),
+            Ok(Some(Asked { call, bearer })) => {
+                let certificate = secure.as_ref().and_then(Secure::presented);
+                let shown = Credentials { bearer: bearer.as_ref().map(Secret::told), certificate };
+                break match allowed(shared, &call, shown) {
+                    Ok(()) => answer(shared, keeper, call),
+                    Err(reason) => turned_away(reason),
+                };
+            }
             Ok(None) => {}
             Err(bad) => break bad.answer(),
         }
-        match read(stream, &mut piece)? {
+        let read = match &secure {
+            Some(secure) => secure.read(stream, &mut piece)?,
+            None => read(stream, &mut piece)?,
+        };
+        match read {
             0 => return Ok(()),
             read => buffer.extend_from_slice(&piece[..read]),
         }
@@ -165,14 +238,36 @@
     if let Some(caller) = lock(&desk.callers).get_mut(&number) {
         (caller.heard, caller.since) = (true, Instant::now());
     }
-    // Short enough for any socket's buffer.
-    stream.inner().write_all(&[answer.head(true).as_bytes(), &answer.body].concat())?;
+    let bytes = [answer.head(true).as_bytes(), &answer.body].concat();
+    match &secure {
+        Some(secure) => {
+            secure.write(stream, &bytes)?;
+            secure.close(stream)?;
+        }
+        None => write(stream, &bytes)?,
+    }
     // Closed with unread input the connection would be reset, and that can destroy the answer.
     stream.shutdown(Shutdown::Write)?;
     while read(stream, &mut piece)? > 0 {}
     Ok(())
 }
 
+/// Keys of thousands of tenants' issuers don't fit any socket's buffer; who takes none of them is closed in time.
+fn write(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.inner().write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                stream.wait_io();
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 fn read(stream: &TcpStream, piece: &mut [u8]) -> io::Result<usize> {
     loop {
         match stream.inner().read(piece) {
@@ -195,6 +290,8 @@
     #[case::query("GET /v1/readyz?now", Call::Ready)]
     #[case::out("POST /v1/stores/s-1/suspend", Call::Change(Intent::TakeOut("s-1".into())))]
     #[case::back("POST /v1/stores/s-1/resume", Call::Change(Intent::PutBack("s-1".into())))]
+    #[case::keys("GET /v1/identity/keys", Call::Keys)]
+    #[case::metrics("GET /v1/metrics", Call::Metrics)]
     #[case::drain("POST /v1/gateway/drain", Call::Change(Intent::Drain(true)))]
     #[case::activate("POST /v1/gateway/activate", Call::Change(Intent::Drain(false)))]
     fn a_call_is_taken_once_it_is_whole(#[case] line: &str, #[case] expected: Call) {
@@ -202,7 +299,7 @@
         for cut in 0..text.len() {
             assert_eq!(call(&text.as_bytes()[..cut]), Ok(None), "cut at {cut}");
         }
-        assert_eq!(call(text.as_bytes()), Ok(Some(expected)));
+        assert_eq!(call(text.as_bytes()), Ok(Some(Asked { call: expected, bearer: None })));
     }
 
     #[rstest]
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -34,6 +34,11 @@
         (unix_ms > 0 && at > 0).then_some(at)
     }
 
+    /// The Unix clock now, in milliseconds, wherever it has stepped to.
+    pub fn unix_ms(&self) -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    }
+
     /// How long ago a Unix millisecond was.
     pub fn ago(&self, unix_ms: u64) -> Micros {
         match SystemTime::now().duration_since(UNIX_EPOCH) {
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -7,12 +7,13 @@
 
 use super::gateway::{Final, Shared, Work};
 use super::lock;
-use crate::config::{Dns, Routes};
 use crate::interface::{Effect, Request, RequestId};
+use crate::operators::fronts::{Dns, Routes};
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
 use may::net::{TcpListener, TcpStream, UdpSocket};
+use sagearch_identity::Caller;
 use std::collections::HashSet;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -58,6 +59,7 @@
         class: usize,
         object: String,
         part: u32,
+        caller: Arc<Caller>,
     },
 }
 
@@ -118,6 +120,10 @@
         let (Some(source), true) = (source, question.query_class() == DNSClass::IN) else {
             return Judged::Code(ResponseCode::Refused);
         };
+        // Who stands for no tenant is not told which names there are.
+        if !self.shared.guard.knows_network(from) {
+            return Judged::Code(ResponseCode::Refused);
+        }
         // Whoever asks is to go on to another gateway.
         if self.shared.broker().drained().is_some() {
             return Judged::Code(ResponseCode::Refused);
@@ -130,14 +136,18 @@
                 let known = &deployment.settings.classes[class];
                 // What carries a key runs at most once, where the gateway can see it: never by name.
                 if known.effect != Effect::Repeatable || known.uncacheable {
-                    Judged::Code(ResponseCode::Refused)
-                } else if question.query_type() != RecordType::A {
+                    return Judged::Code(ResponseCode::Refused);
+                }
+                let Ok(caller) = self.shared.guard.admit_network(from, &known.name, &object) else {
+                    return Judged::Code(ResponseCode::Refused);
+                };
+                if question.query_type() != RecordType::A {
                     Judged::NoData
                 } else if source.ignores_lifetimes {
                     // It would hold on to a member that drains; the gateway's own address stays good.
                     Judged::Own
                 } else {
-                    Judged::LookUp { class, object, part }
+                    Judged::LookUp { class, object, part, caller }
                 }
             }
         }
@@ -163,8 +173,8 @@
             Judged::Code(code) => self.reply(&query, code, None),
             Judged::NoData => self.reply(&query, ResponseCode::NoError, None),
             Judged::Own => self.address(&query, Some(self.gateway)),
-            Judged::LookUp { class, object, part } => {
-                let found = self.look_up(class, object, part, routes.deadline_ms);
+            Judged::LookUp { class, object, part, caller } => {
+                let found = self.look_up(class, object, part, &caller, routes.deadline_ms);
                 self.address(&query, found)
             }
         };
@@ -176,7 +186,14 @@
     }
 
     /// Takes a look-up through the core. A refusal, a failure and the deadline give nothing.
-    fn look_up(&self, class: usize, object: String, part: u32, deadline_ms: u64) -> Option<IpAddr> {
+    fn look_up(
+        &self,
+        class: usize,
+        object: String,
+        part: u32,
+        caller: &Arc<Caller>,
+        deadline_ms: u64,
+    ) -> Option<IpAddr> {
         let _place = super::Place::take(&self.lookups, MOST_LOOKUPS)?;
         let _open = self.shared.taken();
         let request = Request {
@@ -188,7 +205,11 @@
             by_name: true,
             ..Request::default()
         };
-        match self.shared.carry(request, &Work::Check, None) {
+        let end = self.shared.carry(request, caller, &Work::Check, None);
+        if self.shared.guard.is_on() {
+            self.shared.guard.metrics.ended(caller, end.label());
+        }
+        match end {
             Final::Checked(order) => self.shared.address(order.member).map(|at| at.ip()),
             _ => None,
         }
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -5,15 +5,19 @@
 use super::clock::Clock;
 use super::handover::{self, Intents};
 use super::http::Leaving;
+use super::identity::Guard;
 use super::store::{Answered, End, Limits, Pull, Reply, Stores};
 use super::{Place, admin, dns, http, link, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
-use crate::config::{Config, ConfigError, Raft, Routes, Shape, decode_routes};
+use crate::config::{Config, ConfigError, Shape};
 use crate::consensus::Instance;
 use crate::interface::*;
+use crate::operators::Operators;
+use crate::operators::fronts::{self, Raft, Routes};
 use crate::settings::{Connections, Deployment};
-use may::net::{TcpListener, TcpStream};
+use may::net::TcpListener;
 use may::sync::mpsc;
+use sagearch_identity::Caller;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io;
@@ -27,6 +31,8 @@
 /// How often clients are looked at for having left, and connections to stores for being idle.
 const WATCH_EVERY: u32 = 10;
 const SWEEP_EVERY: u32 = 50;
+/// And idle connections for whose certificates are over.
+const IDENTITIES_EVERY: u32 = 250;
 /// A KILL, or the end of a connection, is on its way this long at most before the next attempt goes out by
 /// another one: from afar it would arrive behind that, and two attempts would be out at once.
 const SETTLES: Duration = Duration::from_millis(10);
@@ -101,6 +107,24 @@
     Gone,
 }
 
+impl Final {
+    pub fn label(&self) -> &'static str {
+        match self {
+            Final::Served(_) => "served",
+            Final::Checked(_) => "checked",
+            Final::Refused(_) => "refused",
+            Final::Failed => "failed",
+            Final::Gone => "gone",
+        }
+    }
+}
+
+/// Who waits for an answer.
+pub trait Client {
+    /// Whether it has neither closed nor reset its connection.
+    fn still_there(&self) -> bool;
+}
+
 /// Connections of a process, or at most so many.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub(super) struct Held {
@@ -139,6 +163,8 @@
     socket_shared: bool,
     /// Connections to stores that may be held at once.
     most_stores: usize,
+    /// Who calls, and with which rights.
+    pub guard: Arc<Guard>,
     /// Another process of this gateway is there, and these ids it is still to be told of.
     pub(super) beside: AtomicBool,
     pub(super) fresh: Mutex<Vec<u64>>,
@@ -176,6 +202,9 @@
         if !self.ready.load(Ordering::SeqCst) {
             return Some("starting");
         }
+        if self.guard.sealed() {
+            return Some("the operators' file can't be used");
+        }
         self.broker().drained().map(|_| "drained")
     }
 
@@ -264,14 +293,20 @@
     }
 
     /// Takes a request from its arrival to its end. Returns as soon as the end is known.
-    pub fn carry(&self, request: Request, work: &Work, client: Option<&TcpStream>) -> Final {
+    pub fn carry(
+        &self,
+        request: Request,
+        caller: &Arc<Caller>,
+        work: &Work,
+        client: Option<&dyn Client>,
+    ) -> Final {
         let (mail, notes) = mpsc::channel();
         let mailbox = Mailbox(mail);
         let watch = client.map(|_| self.watches.fetch_add(1, Ordering::Relaxed));
         if let Some(watch) = watch {
             lock(&self.watched).insert(watch, mailbox.clone());
         }
-        let end = self.run(request, work, client, &mailbox, &notes);
+        let end = self.run(request, caller, work, client, &mailbox, &notes);
         if let Some(watch) = watch {
             lock(&self.watched).remove(&watch);
         }
@@ -281,13 +316,14 @@
     fn run(
         &self,
         request: Request,
+        caller: &Arc<Caller>,
         work: &Work,
-        client: Option<&TcpStream>,
+        client: Option<&dyn Client>,
         mailbox: &Mailbox,
         notes: &mpsc::Receiver<Note>,
     ) -> Final {
         let id = request.id;
-        let mut verdict = self.broker().pick(self.clock.now(), request, mailbox.clone());
+        let mut verdict = self.broker().pick(self.clock.now(), request, caller.clone(), mailbox.clone());
         let mut settles = false;
         loop {
             let mut out = None;
@@ -334,7 +370,7 @@
                             Next::Wait => {}
                         }
                     }
-                    Ok(Note::Look) if client.is_none_or(still_there) => {}
+                    Ok(Note::Look) if client.is_none_or(Client::still_there) => {}
                     Ok(Note::Look) | Err(_) => {
                         out.take().map(|(_, ticket)| ticket.kill(false));
                         self.broker().abandon(self.clock.now(), id);
@@ -355,12 +391,13 @@
         };
         let how = Ended { outcome, detail: reply.detail, load: reply.load() };
         log::debug!(
-            "{:016x} attempt {} at {:08x}: {outcome:?} {:?} after {} ms",
+            "{:016x} attempt {} at {:08x}: {outcome:?} {:?} after {} ms for {}",
             order.request.0,
             order.attempt,
             order.member.0,
             how.detail,
             now.saturating_sub(order.picked) / 1_000,
+            order.caller.tenant,
         );
         self.broker().report(now, order.request, order.attempt, how)
     }
@@ -385,14 +422,6 @@
     }
 }
 
-/// Whether a client that waits has neither closed nor reset its connection.
-fn still_there(stream: &TcpStream) -> bool {
-    match stream.inner().peek(&mut [0]) {
-        Ok(read) => read > 0,
-        Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
-    }
-}
-
 /// Whether another process listens there.
 fn in_use(at: SocketAddr) -> bool {
     std::net::TcpListener::bind(at).is_err_and(|e| e.kind() == io::ErrorKind::AddrInUse)
@@ -416,18 +445,17 @@
 /// This instance's part in agreeing on the name front's routes.
 fn agree(shared: &Arc<Shared>, raft: &Raft) -> io::Result<Instance> {
     let (checking, applying) = (shared.clone(), shared.clone());
-    let check = move |text: &[u8]| match decode_routes(text, &checking.deployment().names) {
-        Ok(_) => Ok(()),
-        Err(e) => Err(e.to_string()),
+    let read = |text: &[u8], shared: &Shared| {
+        let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
+        fronts::routes("document", text, &shared.deployment().names).map_err(|fault| fault.to_string())
     };
-    Instance::start(raft, Arc::new(check), move |text| {
-        match decode_routes(text, &applying.deployment().names) {
-            Ok(routes) => {
-                log::info!("agreed: {} sources of look-ups", routes.sources.len());
-                applying.set_routes(routes);
-            }
-            Err(e) => log::error!("agreed, but not usable here: {e}"),
+    let check = move |text: &[u8]| read(text, &checking).map(drop);
+    Instance::start(raft, Arc::new(check), move |text| match read(text, &applying) {
+        Ok(routes) => {
+            log::info!("agreed: {} sources of look-ups", routes.sources.len());
+            applying.set_routes(routes);
         }
+        Err(e) => log::error!("agreed, but not usable here: {e}"),
     })
 }
 
@@ -458,14 +486,16 @@
             known,
             settings,
             names,
-            dns,
-            raft,
+            operators,
             admin,
             socket,
             lasting,
             shape,
         } = config;
         let clock = Clock::default();
+        let guard = Guard::new(clock, seed);
+        guard.start(&operators);
+        let Operators { dns, raft, .. } = operators.unwrap_or_default();
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let asked = broker.clone();
         let gate = Arc::new(move |order: &Order| lock(&asked).may_send(order));
@@ -490,6 +520,7 @@
             most_stores: sockets / 3,
             beside: AtomicBool::new(false),
             fresh: Mutex::default(),
+            guard,
             open: Arc::default(),
         });
         bus::take(&shared, known);
@@ -551,6 +582,9 @@
                 if round.is_multiple_of(WATCH_EVERY) {
                     timed.watch();
                 }
+                if round.is_multiple_of(IDENTITIES_EVERY) {
+                    seated.end_identities(&timed.guard);
+                }
                 if round.is_multiple_of(SWEEP_EVERY) {
                     timed.stores.sweep(timed.handed_over());
                     seated.sweep(timed.leaving());
@@ -567,8 +601,15 @@
     pub fn reload(&self, config: Config) -> Result<(), ConfigError> {
         let mut shape = lock(&self.shape);
         shape.held_by(&config.shape)?;
-        let Config { settings, names, bus, .. } = config;
+        let Config { settings, names, bus, operators, .. } = config;
         let shared = &self.shared;
+        // The only other part that can turn a version down, and so the first to be brought into force.
+        let turned_down = |cause| ConfigError { key: "operators".into(), cause };
+        let operators = operators.map_err(turned_down)?;
+        shared.guard.renew(&operators).map_err(turned_down)?;
+        if let (Some(dns), None) = (&operators.dns, &self.raft) {
+            shared.set_routes(dns.routes.clone());
+        }
         shared.stores.set_limits(limits(names.connections, self.sockets));
         {
             let mut deployment = lock(&shared.deployment);
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,12 +1,15 @@
 //! Clients: HTTP/1.1 in, one request at a time on a connection, and answers out.
 
-use super::gateway::{Final, Shared, Work};
+use super::gateway::{Client, Final, Shared, Work};
 use super::lock;
 use super::store::{End, Pull, Reply};
+use super::tls::{Secure, Terms};
 use crate::interface::{Effect, Micros, Request, RequestId};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
+use sagearch_identity::{Caller, Credentials, Presented, Reason};
 use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::Shutdown;
 use std::str::FromStr;
@@ -59,6 +62,32 @@
     }
 }
 
+/// What must not be seen in a log.
+#[derive(Clone, PartialEq)]
+pub struct Secret(String);
+
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("[hidden]")
+    }
+}
+
+impl Secret {
+    /// The token of an `Authorization` field (RFC 6750, section 2.1). Of a field that stands twice, or in another
+    /// scheme, nothing is left that could be taken for one.
+    pub fn bearer(field: &str, before: Option<&Secret>) -> Secret {
+        let token = match field.split_once(' ') {
+            Some((scheme, token)) if scheme.eq_ignore_ascii_case("bearer") => token.trim_start(),
+            _ => "",
+        };
+        Secret(if before.is_some() { String::new() } else { token.into() })
+    }
+
+    pub fn told(&self) -> &str {
+        &self.0
+    }
+}
+
 /// What a client sent, whole.
 #[derive(Debug, PartialEq)]
 enum Asked {
@@ -75,6 +104,7 @@
     part: u32,
     /// It came as PUT.
     write: bool,
+    bearer: Option<Secret>,
     pull: Pull,
 }
 
@@ -200,6 +230,7 @@
             }
             "req-kb" => object.size_kb = number(text, LARGEST_KB).ok_or(Bad(400, "Req-Kb"))?,
             "if-none-match" => object.pull.have = tag(text),
+            "authorization" => object.bearer = Some(Secret::bearer(text, object.bearer.as_ref())),
             _ => {}
         }
         seen.push(name);
@@ -243,6 +274,8 @@
         200 => "OK",
         304 => "Not Modified",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         500 => "Internal Server Error",
@@ -286,6 +319,19 @@
     Answer { extra: format!("Retry-After: {seconds}\r\n"), ..Answer::new(503, Vec::new()) }
 }
 
+/// What a caller is told who is turned away: the status, and how to do better (RFC 6750, section 3). Why is the
+/// operators' to know.
+pub fn turned_away(reason: Reason) -> Answer {
+    let status = reason.status();
+    if status == 503 {
+        return refusal(None);
+    }
+    let error = reason.error().map_or(String::new(), |error| format!(", error=\"{error}\""));
+    let extra = format!("WWW-Authenticate: Bearer realm=\"sagearch\"{error}\r\n");
+    let body = if status == 403 { "not allowed\n" } else { "not recognised\n" };
+    Answer { extra, ..Answer::new(status, body.into()) }
+}
+
 fn served(reply: Reply) -> Answer {
     let extra = reply.etag.map_or(String::new(), |tag| format!("ETag: \"{tag}\"\r\n"));
     match reply.end {
@@ -307,6 +353,8 @@
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum At {
+    /// Its TLS handshake is under way, for so long at most.
+    Shaking(Duration),
     /// No request has been whole yet on it, or one has begun.
     Asking,
     /// A request is open.
@@ -320,6 +368,7 @@
 impl At {
     fn longest(self) -> Option<Duration> {
         match self {
+            At::Shaking(within) => Some(within),
             At::Asking => Some(SLOWEST),
             At::Open => None,
             At::Writing => Some(WRITE_STUCK),
@@ -331,6 +380,7 @@
 
 struct Seat {
     stream: Arc<TcpStream>,
+    secure: Option<Arc<Secure>>,
     at: At,
     since: Instant,
 }
@@ -354,6 +404,19 @@
     clients: &'a Clients,
     number: u64,
     stream: Arc<TcpStream>,
+    secure: Option<Arc<Secure>>,
+}
+
+impl Client for Sitting<'_> {
+    fn still_there(&self) -> bool {
+        match &self.secure {
+            Some(secure) => secure.still_there(&self.stream),
+            None => match self.stream.inner().peek(&mut [0]) {
+                Ok(read) => read > 0,
+                Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+            },
+        }
+    }
 }
 
 impl Drop for Sitting<'_> {
@@ -376,6 +439,9 @@
 
     fn send(&self, parts: [&[u8]; 2]) -> io::Result<()> {
         self.is_at(At::Writing);
+        if let Some(secure) = &self.secure {
+            return parts.into_iter().try_for_each(|bytes| secure.write(&self.stream, bytes));
+        }
         for mut bytes in parts {
             while !bytes.is_empty() {
                 match self.stream.inner().write(bytes) {
@@ -390,6 +456,18 @@
 
     /// 0: the client has closed, or its time is over.
     fn read(&self, piece: &mut [u8]) -> io::Result<usize> {
+        match &self.secure {
+            Some(secure) => secure.read(&self.stream, piece),
+            None => self.read_raw(piece),
+        }
+    }
+
+    /// The certificate that its client has shown.
+    fn presented(&self) -> Option<&Presented> {
+        self.secure.as_ref().and_then(|secure| secure.presented())
+    }
+
+    fn read_raw(&self, piece: &mut [u8]) -> io::Result<usize> {
         loop {
             match self.stream.inner().read(piece) {
                 Ok(read) => return Ok(read),
@@ -412,10 +490,14 @@
     /// Ends the connection after its last answer, so that the client can read that.
     fn end(&self, piece: &mut [u8]) -> io::Result<()> {
         self.is_at(At::Draining);
+        if let Some(secure) = &self.secure {
+            secure.close(&self.stream)?;
+        }
         self.stream.shutdown(Shutdown::Write)?;
         let (mut drained, mut reads) = (0, 0);
         while drained < MOST_DRAINED {
-            let read = self.read(piece)?;
+            // What is dropped need not be deciphered.
+            let read = self.read_raw(piece)?;
             if read == 0 {
                 break;
             }
@@ -442,11 +524,11 @@
         }
     }
 
-    fn sit(&self, stream: Arc<TcpStream>, at: At) -> Sitting<'_> {
+    fn sit(&self, stream: Arc<TcpStream>, secure: Option<Arc<Secure>>, at: At) -> Sitting<'_> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let seat = Seat { stream: stream.clone(), at, since: Instant::now() };
+        let seat = Seat { stream: stream.clone(), secure: secure.clone(), at, since: Instant::now() };
         lock(&self.seats).insert(number, seat);
-        Sitting { clients: self, number, stream }
+        Sitting { clients: self, number, stream, secure }
     }
 
     /// How many clients are connected.
@@ -463,16 +545,24 @@
         super::left_of(self.most, self.taken.load(Ordering::SeqCst))
     }
 
-    /// Room for one more: free already, or made by closing a connection that nobody waits on.
-    fn room(&self) -> bool {
+    /// Room for one more: free already, or made by closing a connection that nobody waits on. Handshakes have a
+    /// bound of their own, and beyond it the oldest of them makes way: begun and left, they take no place from
+    /// clients that have been served.
+    fn room(&self, handshakes: Option<usize>) -> bool {
         let mut seats = lock(&self.seats);
-        if seats.len() < self.most() {
+        let shaking = |seat: &Seat| matches!(seat.at, At::Shaking(_));
+        let handshakes = handshakes.map(|most| most.min(self.most / 4).max(1));
+        let crowded =
+            handshakes.is_some_and(|most| seats.values().filter(|seat| shaking(seat)).count() >= most);
+        if seats.len() < self.most() && !crowded {
             return true;
         }
         let now = Instant::now();
         let rank = |seat: &Seat| match seat.at {
+            At::Shaking(_) if crowded => Some(0),
+            _ if crowded => None,
             At::Draining if now - seat.since > SILENT => Some(0),
-            At::Asking if now - seat.since > SILENT => Some(1),
+            At::Shaking(_) | At::Asking if now - seat.since > SILENT => Some(1),
             At::Idle => Some(2),
             _ => None,
         };
@@ -492,6 +582,11 @@
             _ => false,
         };
         for seat in lock(&self.seats).values() {
+            // A read from a handshake that lasts too long must not be taken for a client's end.
+            if matches!(seat.at, At::Shaking(within) if now - seat.since > within) {
+                let _ = seat.stream.shutdown(Shutdown::Both);
+                continue;
+            }
             if seat.at.longest().is_some_and(|longest| now - seat.since > longest) || away(seat) {
                 // Who has sent part of a request is still told so; all others are done with.
                 let way = if seat.at == At::Asking { Shutdown::Read } else { Shutdown::Both };
@@ -500,6 +595,26 @@
         }
     }
 
+    /// Closes idle connections whose certificate stands for nobody any more, or will not for long: their clients
+    /// open others with the one that they have by then.
+    pub fn end_identities(&self, guard: &super::identity::Guard) {
+        if !guard.is_on() {
+            return;
+        }
+        let idle = |seat: &&Seat| seat.at == At::Idle;
+        let held: Vec<(Arc<TcpStream>, Arc<Secure>)> = lock(&self.seats)
+            .values()
+            .filter(idle)
+            .filter_map(|seat| Some((seat.stream.clone(), seat.secure.clone()?)))
+            .collect();
+        for (stream, secure) in held {
+            let over = |shown| guard.ends_soon(shown) || !guard.certificate_stands(shown);
+            if secure.presented().is_some_and(over) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     /// Whether an id belongs to a request that has been answered. Ids are new with every request.
     fn was_answered(&self, id: u64) -> bool {
         lock(&self.answered).0.contains(&id)
@@ -542,12 +657,19 @@
             }
         };
         let (shared, table) = (shared.clone(), clients.clone());
-        if clients.room() {
-            super::spawn(move || {
-                if let Err(e) = client(&shared, &table.sit(stream, At::Asking)) {
+        let terms = shared.guard.tls_of_clients();
+        if clients.room(terms.as_ref().map(|terms| terms.handshakes)) {
+            let ended = |served: io::Result<()>| {
+                if let Err(e) = served {
                     log::debug!("client: {e}");
                 }
-            });
+            };
+            match terms {
+                None => super::spawn(move || ended(client(&shared, &table.sit(stream, None, At::Asking)))),
+                Some(terms) => {
+                    super::spawn_tls(move || ended(secure_client(&shared, &table, stream, &terms)));
+                }
+            }
             if lock(&clients.seats).len() + 1 >= clients.most() {
                 // The one that made way must get to give its descriptor back.
                 may::coroutine::sleep(MOMENT);
@@ -558,15 +680,43 @@
             told = Some(Instant::now());
             log::warn!("{} clients have requests open: more are refused", clients.most());
         }
+        // Before its handshake a client can't be told anything.
+        if terms.is_some() {
+            continue;
+        }
         let Some(place) = super::Place::take(&clients.lobby, clients.lobby_most) else { continue };
         super::spawn(move || {
             let _place = place;
-            let sitting = table.sit(stream, At::Writing);
+            let sitting = table.sit(stream, None, At::Writing);
             let _ = sitting.write(&refusal(None), true).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
         });
     }
 }
 
+/// Takes a client through its handshake, and serves it.
+fn secure_client(
+    shared: &Arc<Shared>,
+    table: &Clients,
+    stream: Arc<TcpStream>,
+    terms: &Terms,
+) -> io::Result<()> {
+    let began = Instant::now();
+    let secure = Arc::new(Secure::new(terms)?);
+    let sitting = table.sit(stream, Some(secure.clone()), At::Shaking(terms.within));
+    sitting.stream.set_nodelay(true)?;
+    let shaken = secure.handshake(&sitting.stream);
+    let outcome = match &shaken {
+        Ok(()) => "done",
+        Err(e) if e.kind() == io::ErrorKind::UnexpectedEof && began.elapsed() >= terms.within => "too_slow",
+        Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => "left",
+        Err(_) => "failed",
+    };
+    shared.guard.metrics.handshake(outcome, began.elapsed());
+    shaken?;
+    sitting.is_at(At::Asking);
+    client(shared, &sitting)
+}
+
 fn client(shared: &Arc<Shared>, sitting: &Sitting) -> io::Result<()> {
     sitting.stream.set_nodelay(true)?;
     let (mut buffer, mut piece, mut continued) = (Vec::new(), [0; 4 * 1024], false);
@@ -596,8 +746,10 @@
                 let _open = shared.taken();
                 sitting.is_at(At::Open);
                 let Some(answer) = respond(shared, sitting, taken.asked) else { return Ok(()) };
-                // Asked only now: the gateway may have begun to send its clients away meanwhile.
-                let close = !taken.keep_alive || shared.leaving().is_some();
+                // Asked only now: the gateway may have begun to send its clients away meanwhile, and a
+                // certificate may have come near its end.
+                let ends = || sitting.presented().is_some_and(|shown| shared.guard.ends_soon(shown));
+                let close = !taken.keep_alive || shared.leaving().is_some() || ends();
                 sitting.write(&answer, close)?;
                 if close {
                     return sitting.end(&mut piece);
@@ -622,6 +774,18 @@
         Asked::Live => return Some(Answer::new(200, b"live\n".into())),
         Asked::Object(object) => *object,
     };
+    // Before anything is told of what there is.
+    let method = if object.write { "PUT" } else { "GET" };
+    let bearer = object.bearer.as_ref().map(Secret::told);
+    let unreadable = || sitting.secure.as_ref().is_some_and(|secure| secure.unreadable());
+    let shown = match bearer {
+        None if unreadable() => return Some(turned_away(Reason::CertificateUntrusted)),
+        bearer => Credentials { bearer, certificate: sitting.presented() },
+    };
+    let caller = match shared.guard.admit(shown, &object.pull.class, method, &object.pull.object) {
+        Ok(caller) => caller,
+        Err(reason) => return Some(turned_away(reason)),
+    };
     let deployment = shared.deployment();
     let class = deployment.names.classes.get(&object.pull.class).copied();
     let Some(known) = class.and_then(|class| deployment.settings.classes.get(class)) else {
@@ -650,7 +814,10 @@
         purge_group: object.group,
         by_name: false,
     };
-    let end = shared.carry(request, &Work::Pull(object.pull), Some(&*sitting.stream));
+    let end = shared.carry(request, &caller, &Work::Pull(object.pull), Some(sitting));
+    if shared.guard.is_on() {
+        told(shared, &caller, object.id, &end);
+    }
     if !matches!(end, Final::Gone) {
         sitting.clients.answered(object.id);
     }
@@ -662,6 +829,19 @@
     })
 }
 
+/// Counts and logs for whom a request was carried out, and how it ended.
+fn told(shared: &Shared, caller: &Caller, id: u64, end: &Final) {
+    let end = end.label();
+    shared.guard.metrics.ended(caller, end);
+    tracing::debug!(
+        request = %format_args!("{id:016x}"),
+        tenant = %caller.tenant,
+        principal = ?caller.principal,
+        end,
+        "request"
+    );
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -672,7 +852,7 @@
     #[test]
     fn a_request_is_taken_only_once_it_is_whole() {
         let text = GET.replace("GET", "PUT")
-            + "X-Family: 17\r\nReq-Kb: 412.5\r\nReq-Token: t1\r\nIf-None-Match: \"4be\"\r\nContent-Length: 3\r\n\r\na\nb";
+            + "X-Family: 17\r\nReq-Kb: 412.5\r\nReq-Token: t1\r\nIf-None-Match: \"4be\"\r\nauthorization: bearer  a.b.c\r\nContent-Length: 3\r\n\r\na\nb";
         for cut in 0..text.len() {
             assert!(matches!(parse(&text.as_bytes()[..cut]), Ok(Parsed::Partial { .. })), "cut at {cut}");
         }
@@ -694,6 +874,7 @@
             size_kb: 412.5,
             part: 3,
             write: true,
+            bearer: Some(Secret("a.b.c".into())),
             pull,
         };
         assert_eq!(taken.asked, Asked::Object(Box::new(object)));
@@ -734,6 +915,19 @@
         assert_eq!(got, status);
     }
 
+    #[rstest]
+    #[case::other_scheme("Authorization: Basic YTpi\r\n")]
+    #[case::no_scheme("Authorization: a.b.c\r\n")]
+    #[case::twice("Authorization: Bearer a.b.c\r\nAuthorization: Bearer a.b.c\r\n")]
+    fn what_is_no_single_token_is_nothing_that_could_be_taken_for_one(#[case] fields: &str) {
+        let text = GET.to_string() + fields + "\r\n";
+        let Ok(Parsed::Whole(Taken { asked: Asked::Object(object), .. })) = parse(text.as_bytes()) else {
+            panic!("not taken")
+        };
+        assert_eq!(object.bearer.as_ref().map(Secret::told), Some(""));
+        assert!(!format!("{object:?}").contains("a.b.c"));
+    }
+
     #[rstest]
     #[case(None, "1")]
     #[case(Some(200_000), "1")]
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -36,6 +36,9 @@
     learned: Learned,
     /// Ids that are open or answered.
     used: Vec<u64>,
+    /// What is never accepted again of tokens and keys.
+    #[serde(default)]
+    identity: Option<sagearch_identity::Handover>,
 }
 
 /// What each tells the other all the time.
@@ -110,11 +113,12 @@
     let (learned, open) = shared.broker().memory();
     let mut used = shared.clients.answered_ids();
     used.extend(open.iter().map(|id| id.0));
-    Handover { classes, learned, used }
+    Handover { classes, learned, used, identity: shared.guard.hand_over() }
 }
 
 fn take_over(shared: &Shared, told: Handover) {
-    let Handover { classes, mut learned, used } = told;
+    let Handover { classes, mut learned, used, identity } = told;
+    identity.into_iter().for_each(|told| shared.guard.take_over(told));
     let before = std::mem::take(&mut learned.mean_work);
     for (name, at) in &shared.deployment().names.classes {
         learned.mean_work.resize(learned.mean_work.len().max(at + 1), (0.0, 0.0));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,9 +8,11 @@
 pub mod gateway;
 pub mod handover;
 pub mod http;
+pub mod identity;
 pub mod link;
 pub mod signal;
 pub mod store;
+pub mod tls;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -30,6 +32,18 @@
     may::config().set_worker_pin(false);
 }
 
+/// The same where TLS is spoken: verifying a chain of certificates goes deeper.
+const TLS_STACK_WORDS: usize = 64 * 1024;
+
+/// Starts a coroutine that speaks TLS.
+fn spawn_tls(work: impl FnOnce() + Send + 'static) {
+    let builder = may::coroutine::Builder::new().stack_size(TLS_STACK_WORDS);
+    // SAFETY: as with `spawn`: the work uses no thread-local state across waits, and its stack is stated.
+    if let Err(e) = unsafe { builder.spawn(work) } {
+        log::warn!("a connection could not be served: {e}");
+    }
+}
+
 /// Starts a coroutine. Its panic ends it alone.
 fn spawn(work: impl FnOnce() + Send + 'static) {
     drop(may::go!(work));
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -714,7 +714,8 @@
 
     fn order(member: u32, fill: Option<Fill>) -> Order {
         let (request, member) = (RequestId(0x9b), MemberId(member));
-        Order { request, attempt: 0, member, timeout: 1_500_900, fill, picked: 0 }
+        let caller = sagearch_identity::Caller::anonymous();
+        Order { request, attempt: 0, member, timeout: 1_500_900, fill, picked: 0, caller }
     }
 
     #[rstest]
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -4,6 +4,7 @@
 use common::{MS, SECOND, fleet, member, settings};
 use sagearch::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use sagearch::interface::*;
+use sagearch_identity::Caller;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -44,7 +45,7 @@
 #[test]
 fn an_outcome_leads_to_the_next_attempt_and_to_one_end() {
     let mut broker = broker();
-    let first = attempt(broker.pick(MS, request(1, 0), Told::default()));
+    let first = attempt(broker.pick(MS, request(1, 0), Caller::anonymous(), Told::default()));
     let Next::Verdict(next) = report(&mut broker, 2 * MS, &first, Outcome::Unreachable) else { panic!() };
     let second = attempt(Some(next));
     assert_eq!((first.attempt, second.attempt), (0, 1));
@@ -59,7 +60,7 @@
 #[test]
 fn a_silent_attempt_is_ended_by_the_tick_and_so_is_the_request() {
     let (mut broker, told) = (broker(), Told::default());
-    attempt(broker.pick(0, request(1, 0), told.clone()));
+    attempt(broker.pick(0, request(1, 0), Caller::anonymous(), told.clone()));
     for now in 1..3_000 {
         broker.tick(now * MS);
     }
@@ -73,7 +74,7 @@
 #[test]
 fn a_pause_is_ended_by_the_tick() {
     let (mut broker, told) = (broker(), Told::default());
-    let first = attempt(broker.pick(0, request(1, 2), told.clone()));
+    let first = attempt(broker.pick(0, request(1, 2), Caller::anonymous(), told.clone()));
     assert_eq!(report(&mut broker, MS, &first, Outcome::Full), Next::Wait);
     (1..200).for_each(|now| broker.tick(now * MS));
     assert!(matches!(told.0.borrow()[..], [Verdict::Attempt(Order { attempt: 1, .. })]));
@@ -82,15 +83,15 @@
 #[test]
 fn an_id_that_is_open_cannot_take_over_another_request() {
     let (mut broker, told) = (broker(), Told::default());
-    let first = attempt(broker.pick(0, request(1, 0), told));
-    assert_eq!(broker.pick(MS, request(1, 0), Told::default()), Some(Verdict::Failed));
+    let first = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), told));
+    assert_eq!(broker.pick(MS, request(1, 0), Caller::anonymous(), Told::default()), Some(Verdict::Failed));
     assert_eq!(report(&mut broker, 2 * MS, &first, Outcome::Served), Next::Done);
 }
 
 #[test]
 fn a_client_that_left_is_owed_nothing() {
     let (mut broker, told) = (broker(), Told::default());
-    let first = attempt(broker.pick(0, request(1, 0), told.clone()));
+    let first = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), told.clone()));
     broker.abandon(MS, RequestId(1));
     assert_eq!(report(&mut broker, 2 * MS, &first, Outcome::Unreachable), Next::Wait);
     (1..4_000).for_each(|now| broker.tick(now * MS));
@@ -100,13 +101,13 @@
 #[test]
 fn what_was_picked_is_checked_again_before_it_is_written() {
     let mut broker = broker();
-    let order = attempt(broker.pick(0, request(1, 0), Told::default()));
+    let order = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), Told::default()));
     assert!(broker.may_send(&order));
     broker.purged(MS, Some("b".into()), None, 0);
     assert!(broker.may_send(&order));
     broker.purged(MS, Some("a".into()), None, 0);
     assert!(!broker.may_send(&order), "its age limit does not know of the purge");
-    let order = attempt(broker.pick(2 * MS, request(2, 0), Told::default()));
+    let order = attempt(broker.pick(2 * MS, request(2, 0), Caller::anonymous(), Told::default()));
     assert!(broker.may_send(&order));
     let source = order.fill.unwrap().source.unwrap();
     let drains = Member { state: MemberState::Draining, ..member(source.0, Role::Parent) };
@@ -118,7 +119,7 @@
 fn a_checked_member_that_left_meanwhile_is_passed_by() {
     let mut broker = broker();
     let by_name = |id| Request { by_name: true, ..request(id, 0) };
-    let first = attempt(broker.pick(0, by_name(1), Told::default()));
+    let first = attempt(broker.pick(0, by_name(1), Caller::anonymous(), Told::default()));
     let gone = Member { state: MemberState::Gone, ..member(first.member.0, Role::Cache) };
     broker.members(MS, ListKind::Changes, vec![gone]);
     let Next::Verdict(next) = broker.checked(2 * MS, &first) else { panic!() };
@@ -134,16 +135,16 @@
     let play = |checks: u64| {
         let mut broker = broker();
         for id in 0..20 {
-            let order = attempt(broker.pick(id * SECOND, sized(id), Told::default()));
+            let order = attempt(broker.pick(id * SECOND, sized(id), Caller::anonymous(), Told::default()));
             let filled = Ended { detail: Detail::Filled, ..Outcome::Served.into() };
             broker.report(id * SECOND + 600 * MS, order.request, 0, filled);
         }
         for id in 100..100 + checks {
             let by_name = Request { by_name: true, object: format!("o{id}"), ..request(id, 0) };
-            let order = attempt(broker.pick(21 * SECOND, by_name, Told::default()));
+            let order = attempt(broker.pick(21 * SECOND, by_name, Caller::anonymous(), Told::default()));
             assert_eq!(broker.checked(21 * SECOND + MS, &order), Next::Done);
         }
-        let order = attempt(broker.pick(22 * SECOND, sized(1_000), Told::default()));
+        let order = attempt(broker.pick(22 * SECOND, sized(1_000), Caller::anonymous(), Told::default()));
         (order.member, order.timeout, order.fill)
     };
     assert_eq!(play(0), play(200));
@@ -163,7 +164,10 @@
     for id in 0..200 {
         let asked = if id < 3 { sized(id) } else { Request { by_name: true, ..request(id, 0) } };
         let now = 100 * SECOND + id * MS;
-        let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Told::default()) else { continue };
+        let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Caller::anonymous(), Told::default())
+        else {
+            continue;
+        };
         taken += 1;
         let how = if id < 3 { Outcome::Served } else { Outcome::Checked };
         report(&mut broker, now, &order, how);
@@ -185,7 +189,10 @@
         for id in 0..800 {
             let now = 100 * SECOND + id * 2 * MS;
             let asked = Request { size_kb: 50.0, object: format!("o{id}"), ..request(id, 0) };
-            let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Told::default()) else { continue };
+            let Some(Verdict::Attempt(order)) = broker.pick(now, asked, Caller::anonymous(), Told::default())
+            else {
+                continue;
+            };
             sent += 1;
             report(&mut broker, now, &order, Outcome::Served);
         }
--- a/tests/dns.rs
+++ b/tests/dns.rs
@@ -5,7 +5,7 @@
 use hickory_proto::rr::{Name, RData, RecordType};
 use rstest::rstest;
 use sagearch::net::gateway::Gateway;
-use serde_json::{Value, json};
+use serde_json::Value;
 use stand::*;
 use std::io::{Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
@@ -30,13 +30,11 @@
 
 /// Resolvers at 127.0.0.2 ignore lifetimes, those at 127.0.0.3 stand at the hub; others are not known.
 fn front(bus: &Bus, instances: &[Value]) -> Gateway {
-    let source = |net: &str, zone: &str, ignores: bool| json!({"net": net, "zone": zone, "ignores_lifetimes": ignores});
-    let sources = [
-        source("127.0.0.1", "edge", false),
-        source("127.0.0.2/32", "edge", true),
-        source("127.0.0.3", "hub", false),
-    ];
-    let dns = json!({"listen": "127.0.0.1:0", "domain": "svc.test", "deadline_ms": 600, "sources": sources});
+    let dns = r#"dns listen="127.0.0.1:0" domain="svc.test" deadline="600ms" {
+        source "127.0.0.1" zone="edge"
+        source "127.0.0.2/32" zone="edge" ignores-lifetimes=#true
+        source "127.0.0.3" zone="hub"
+    }"#;
     gateway_with(bus, instances, 1024, Some(dns))
 }
 
@@ -249,8 +247,8 @@
     let (bus, cache) = (Bus::default(), store(1, |_| "yes"));
     let [socket, old] = [(); 2].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
     let at = old.local_addr().unwrap();
-    let source = json!({"net": "127.0.0.1", "zone": "edge"});
-    let dns = json!({"listen": at.to_string(), "domain": "svc.test", "sources": [source]});
+    let source = r#"source "127.0.0.1" zone="edge""#;
+    let dns = format!("dns listen=\"{at}\" domain=\"svc.test\" {{ {source}; }}");
     let gateway = gateway_beside(&bus, &[cache.cache()], &socket, &dns);
     assert_eq!(gateway.dns, Some(at));
     drop(old);
--- a/tests/raft.rs
+++ b/tests/raft.rs
@@ -1,9 +1,8 @@
 //! Agreed configuration: three instances on loopback, as they come and go.
 
 mod stand;
-use sagearch::config::Raft;
 use sagearch::consensus::{Instance, propose};
-use serde_json::json;
+use sagearch::operators::fronts::Raft;
 use stand::*;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
@@ -119,9 +118,9 @@
     let (folder, places) = places("routes", 3);
     let buses: Vec<Bus> = (0..3).map(|_| Bus::default()).collect();
     let cache = Store::new(1, |_, _| Do::Answer("yes", "-", Vec::new()));
-    let dns = json!({"listen": "127.0.0.1:0", "domain": "svc.test"});
+    let dns = r#"dns listen="127.0.0.1:0" domain="svc.test""#;
     let start = |(place, bus): (&Raft, &Bus)| {
-        gateway_in_group(bus, &[cache.cache()], 1024, Some(dns.clone()), Some(place.clone()))
+        gateway_in_group(bus, &[cache.cache()], 1024, Some(dns), Some(place.clone()))
     };
     let gateways: Vec<_> = places.iter().zip(&buses).map(start).collect();
     // A question for o1.video.svc.test, type A, as its bytes.
@@ -136,10 +135,10 @@
     };
     let (served, refused) = (0, 5);
     assert!(gateways.iter().all(|gateway| code(gateway.dns.unwrap()) == refused));
-    let document = json!({"deadline_ms": 500, "sources": [{"net": "127.0.0.1", "zone": "edge"}]}).to_string();
+    let document = "deadline \"500ms\"\nsource \"127.0.0.1\" zone=\"edge\"".to_string();
     let strange = document.replace("edge", "moon");
     let told = propose(places[0].listen, strange.as_bytes()).unwrap_err();
-    assert!(told.starts_with("dns.sources.zone: "), "{told}");
+    assert!(told.starts_with("document:2:20: zone "), "{told}");
     let since = Instant::now();
     while let Err(cause) = propose(places[0].listen, document.as_bytes()) {
         assert!(since.elapsed() < Duration::from_secs(60), "{cause}");
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -1,8 +1,9 @@
 //! Stand-ins on loopback for tests of the gateway: stores, an event bus and clients, on plain threads.
 #![allow(dead_code)]
 
-use sagearch::config::{Config, Raft, decode, decode_dns};
+use sagearch::config::{Config, decode};
 use sagearch::net::{self, gateway::Gateway};
+use sagearch::operators::{self, fronts::Raft};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -225,7 +226,7 @@
     gateway_with(bus, instances, 1024, None)
 }
 
-pub fn gateway_with(bus: &Bus, instances: &[Value], sockets: usize, dns: Option<Value>) -> Gateway {
+pub fn gateway_with(bus: &Bus, instances: &[Value], sockets: usize, dns: Option<&str>) -> Gateway {
     gateway_in_group(bus, instances, sockets, dns, None)
 }
 
@@ -242,13 +243,35 @@
 }
 
 /// One with a name front that inherits its listening socket, as beside another process.
-pub fn gateway_beside(bus: &Bus, instances: &[Value], socket: &TcpListener, dns: &Value) -> Gateway {
+pub fn gateway_beside(bus: &Bus, instances: &[Value], socket: &TcpListener, dns: &str) -> Gateway {
     start(bus, instances, 1024, |config| {
         config.socket = Some(socket.try_clone().unwrap().into_raw_fd());
-        config.dns = decode_dns(&dns.to_string(), &config.names).unwrap();
+        config.operators = Ok(operators::parse("gateway.kdl", dns, &config.names).unwrap());
     })
 }
 
+/// One with an operators' file of its own in a folder, which operators may call.
+pub fn gateway_under(bus: &Bus, instances: &[Value], folder: &Folder, file: &str) -> Gateway {
+    start(bus, instances, 1024, |config| {
+        config.admin = Some((Ipv4Addr::LOCALHOST, 0).into());
+        config.operators = operators_in(folder, file, config);
+    })
+}
+
+/// What a file of that text in that folder says.
+pub fn operators_in(folder: &Folder, text: &str, config: &Config) -> Result<operators::Operators, String> {
+    let file = folder.0.join("gateway.kdl");
+    std::fs::write(&file, text).unwrap();
+    operators::read(&file, &config.names).map_err(|fault| fault.to_string())
+}
+
+/// The configuration of a gateway, to be read again under another operators' file.
+pub fn config_under(bus: &Bus, folder: &Folder, file: &str) -> Config {
+    let mut read = decode(&config(bus, "127.0.0.1:0", 1024).to_string(), None, None).unwrap();
+    read.operators = operators_in(folder, file, &read);
+    read
+}
+
 /// A folder that is gone with the test.
 pub struct Folder(pub std::path::PathBuf);
 
@@ -279,13 +302,13 @@
     bus: &Bus,
     instances: &[Value],
     sockets: usize,
-    dns: Option<Value>,
+    dns: Option<&str>,
     raft: Option<Raft>,
 ) -> Gateway {
     start(bus, instances, sockets, |config| {
-        let front = |dns: Value| decode_dns(&dns.to_string(), &config.names).unwrap();
-        config.dns = dns.and_then(front);
-        config.raft = raft;
+        let mut read = operators::parse("gateway.kdl", dns.unwrap_or_default(), &config.names).unwrap();
+        read.raft = raft;
+        config.operators = Ok(read);
     })
 }
 
