--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,10 +46,12 @@
 
 mod brain;
 pub mod broker;
+pub mod commands;
 pub mod config;
 pub mod consensus;
 mod hash;
 pub mod interface;
+pub mod issue;
 pub mod log;
 pub mod metrics;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
+use sagearch::commands::identity;
 use sagearch::config::{self, Config};
 use sagearch::consensus;
 use sagearch::log::Format;
@@ -42,6 +43,9 @@
     Version,
     /// Read and check the configuration, and say what it holds
     CheckConfig,
+    /// Check tokens and certificates, show keys, and issue some
+    #[command(subcommand)]
+    Identity(identity::Command),
     /// Have the group agree on new routes of the name front: `deadline` and `source`s, as in the operators' file
     Propose {
         /// Where an instance of the group listens
@@ -73,11 +77,16 @@
     Ok(())
 }
 
-fn run(cli: Cli) -> Result<(), String> {
+fn run(cli: Cli) -> Result<ExitCode, String> {
     let Cli { command, config, operators, .. } = cli;
+    if let Some(Command::Identity(command)) = &command {
+        return Ok(identity::run(command, &operators));
+    }
     let read = move || config::read(config.as_deref(), &operators).map_err(|e| e.to_string());
     match command {
         None | Some(Command::Serve) => serve(read),
+        // Carried out above, as its exit code is part of its answer.
+        Some(Command::Identity(_)) => Ok(()),
         Some(Command::Version) => {
             println!("sagearch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -112,14 +121,15 @@
             }
             Ok(())
         }
-    }
+    }?;
+    Ok(ExitCode::SUCCESS)
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
     sagearch::log::start(cli.log, cli.log_format);
     match run(cli) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(cause) => {
             log::error!("{cause}");
             ExitCode::FAILURE
--- a/src/net/identity.rs
+++ b/src/net/identity.rs
@@ -542,7 +542,7 @@
 }
 
 /// Asks an issuer for its keys, within bounds of time and size.
-fn fetch(ask: &Ask) -> Result<KeySet, String> {
+pub fn fetch(ask: &Ask) -> Result<KeySet, String> {
     let mut config = ureq::Agent::config_builder()
         .timeout_global(Some(ANSWERED_WITHIN))
         .max_redirects(0)
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -25,8 +25,13 @@
     pub raft: Option<Raft>,
 }
 
-/// Reads a text. The zones and classes that it names are those of the settings.
+/// Reads a text. The zones that it names are those of the settings.
 pub fn parse(file: &str, text: &str, names: &Names) -> Result<Operators, Fault> {
+    parse_with(file, text, Some(names))
+}
+
+/// Without the settings, the fronts' part is passed over.
+fn parse_with(file: &str, text: &str, names: Option<&Names>) -> Result<Operators, Fault> {
     let text = Text { file, text };
     let document = text.parse()?;
     let mut operators = Operators::default();
@@ -35,7 +40,10 @@
         let twice = match node.name() {
             "identity" => operators.identity.replace(identity::identity(node)?).is_some(),
             "tls" => operators.tls.replace(tls::tls(node)?).is_some(),
-            "dns" => operators.dns.replace(fronts::dns(node, names)?).is_some(),
+            "dns" => match names {
+                Some(names) => operators.dns.replace(fronts::dns(node, names)?).is_some(),
+                None => false,
+            },
             "group" => operators.raft.replace(fronts::group(node)?).is_some(),
             _ => return Err(node.unknown()),
         };
@@ -62,3 +70,10 @@
         Err(e) => Err(Fault::new(&name, "", (0, 0).into(), e)),
     }
 }
+
+/// Reads what a file says of identity and TLS, where there is no configuration beside it. It must be there.
+pub fn read_without_names(file: &Path) -> Result<Operators, Fault> {
+    let name = file.to_string_lossy();
+    let text = std::fs::read_to_string(file).map_err(|e| Fault::new(&name, "", (0, 0).into(), e))?;
+    parse_with(&name, &text, None)
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -330,7 +330,7 @@
     pub took: Duration,
 }
 
-fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
+pub fn read_head(reader: &mut impl BufRead) -> Option<(String, BTreeMap<String, String>)> {
     let (mut first, mut fields) = (String::new(), BTreeMap::new());
     reader.read_line(&mut first).ok().filter(|read| *read > 0)?;
     loop {
@@ -344,8 +344,12 @@
 /// Reads one answer; `None` if the connection ends before it is whole.
 pub fn read_answer(stream: &TcpStream, since: Instant) -> Option<Answer> {
     stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-    let mut reader = BufReader::new(stream);
-    let (first, fields) = read_head(&mut reader)?;
+    read_answer_on(&mut BufReader::new(stream), since)
+}
+
+/// The same of any stream that is read through a buffer, which may hold the next answers as well.
+pub fn read_answer_on(reader: &mut impl BufRead, since: Instant) -> Option<Answer> {
+    let (first, fields) = read_head(reader)?;
     let status = first.split(' ').nth(1)?.parse().ok()?;
     let length = fields.get("content-length").map_or(0, |length| length.parse().unwrap());
     let mut body = vec![0; length];
@@ -394,17 +398,33 @@
 
 impl Program {
     pub fn start(bus: &Bus) -> Program {
+        Program::start_with(bus, std::process::Command::new(env!("CARGO_BIN_EXE_sagearch")))
+    }
+
+    /// One by this command, and what its environment says.
+    pub fn start_with(bus: &Bus, command: std::process::Command) -> Program {
         let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let program = Program::start_as(bus, at, std::process::Command::new(env!("CARGO_BIN_EXE_sagearch")));
+        let program = Program::start_as(bus, at, command);
         wait_for("it listens", || TcpStream::connect(at).is_ok());
         program
     }
 
     /// One that inherits its listening socket as descriptor 4, and has operators and a folder.
     pub fn inherit(bus: &Bus, socket: &TcpListener, admin: SocketAddr, folder: &Folder) -> Program {
+        Program::inherit_with(bus, socket, admin, folder, &[])
+    }
+
+    pub fn inherit_with(
+        bus: &Bus,
+        socket: &TcpListener,
+        admin: SocketAddr,
+        folder: &Folder,
+        arguments: &[&str],
+    ) -> Program {
         let mut command = std::process::Command::new("/bin/sh");
         command
-            .args(["-c", "exec \"$0\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_sagearch")])
+            .args(["-c", "exec \"$0\" \"$@\" 4<&0 0</dev/null", env!("CARGO_BIN_EXE_sagearch")])
+            .args(arguments)
             .stdin(std::os::fd::OwnedFd::from(socket.try_clone().unwrap()))
             .env("NODE_SOCKET_FD", "4")
             .env("NODE_ADMIN", admin.to_string())
