--- a/crates/identity/src/authority.rs
+++ b/crates/identity/src/authority.rs
@@ -96,8 +96,8 @@
 /// Which key verified a signature: its kid and its thumbprint.
 type Verifier = (String, [u8; 32]);
 
-/// One version of the settings, compiled.
-struct Compiled {
+/// One version of the settings, compiled: whole, checked and never changed.
+pub struct Policy {
     settings: Settings,
     tenants: Vec<Tenant>,
     marks: Marks,
@@ -107,8 +107,21 @@
     anonymous: Option<Arc<Caller>>,
 }
 
-impl Compiled {
-    fn new(settings: Settings) -> Result<Compiled, String> {
+impl Policy {
+    fn empty() -> Policy {
+        Policy {
+            settings: Settings::default(),
+            tenants: Vec::new(),
+            marks: Marks::default(),
+            operators: Marks::default(),
+            networks: Networks::default(),
+            issuers: HashMap::new(),
+            anonymous: None,
+        }
+    }
+
+    /// Names stand once, whatever is referred to is there, and no bound is passed; or what is wrong.
+    pub fn new(settings: Settings) -> Result<Policy, String> {
         bounds(&settings)?;
         let (mut texts, mut marks, mut operators) = (Texts::default(), Marks::default(), Marks::default());
         let mut issuers = HashMap::new();
@@ -148,7 +161,7 @@
             }
         };
         let networks = Networks::new(&settings)?;
-        Ok(Compiled { tenants, marks, operators, networks, issuers, anonymous, settings })
+        Ok(Policy { tenants, marks, operators, networks, issuers, anonymous, settings })
     }
 
     fn issuer(&self, name: &str) -> Option<&Issuer> {
@@ -174,7 +187,7 @@
     fn token(&self, claims: &Claims, algorithm: Algorithm, now: Millis) -> Result<Arc<Caller>, Reason> {
         let issuer = self.judge(claims, algorithm, now)?;
         let principal = claims.all.get(&issuer.principal).and_then(|value| value.as_str());
-        let principal = principal.filter(|name| !name.is_empty() && name.len() <= token::LONGEST_NAME);
+        let principal = principal.filter(|name| !name.is_empty() && name.len() <= crate::LONGEST_NAME);
         let found = match self.marks.token(claims) {
             // Of claims as of names: who calls can't be told.
             Found::Several => Found::None,
@@ -201,7 +214,7 @@
 
 /// Whether settings are whole: names stand once, whatever is referred to is there, and no bound is passed.
 pub fn check(settings: &Settings) -> Result<(), String> {
-    Compiled::new(settings.clone()).map(drop)
+    Policy::new(settings.clone()).map(drop)
 }
 
 fn caller(tenant: &Tenant, principal: &str, proof: Proof) -> Arc<Caller> {
@@ -209,6 +222,11 @@
     Arc::new(Caller { tenant: tenant.name.clone(), principal: principal.into(), proof, rights })
 }
 
+/// A set without any key is more likely a fault than the wish to have every token refused; revoking says that.
+fn usable(set: &KeySet) -> Result<(), String> {
+    if set.keys.is_empty() { Err("no key that can be used".into()) } else { Ok(()) }
+}
+
 fn bounds(settings: &Settings) -> Result<(), String> {
     let most = |what: &str, count: usize, most: usize| match count > most {
         true => Err(format!("{count} {what} are over {most}")),
@@ -229,7 +247,7 @@
 
 /// Who calls, for whom, with which rights.
 pub struct Authority {
-    now: Compiled,
+    now: Policy,
     version: u64,
     keyrings: HashMap<String, Keyring>,
     lookups: HashMap<String, Lookups>,
@@ -247,11 +265,12 @@
 }
 
 impl Authority {
-    /// Nothing is accepted before keys and trust have been taken in.
-    pub fn new(settings: Settings, seed: u64, now: Now) -> Result<Authority, String> {
-        let cached = room(settings.cached);
-        let mut authority = Authority {
-            now: Compiled::new(Settings::default())?,
+    /// Without a policy nobody is anybody, and nothing is accepted before keys and trust have been taken in.
+    pub fn new(seed: u64) -> Authority {
+        let empty = Policy::empty();
+        let cached = room(empty.settings.cached);
+        Authority {
+            now: empty,
             version: 0,
             keyrings: HashMap::new(),
             lookups: HashMap::new(),
@@ -261,14 +280,25 @@
             trusted: 0,
             steady: Steady::default(),
             seed,
-        };
+        }
+    }
+
+    /// One under these settings.
+    pub fn under(settings: Settings, seed: u64, now: Now) -> Result<Authority, String> {
+        let mut authority = Authority::new(seed);
         authority.renew(settings, now)?;
         Ok(authority)
     }
 
-    /// Goes on under new settings, whole or not at all. Keys of issuers that stay are kept, and so is every end.
+    /// Goes on under new settings, whole or not at all.
     pub fn renew(&mut self, settings: Settings, now: Now) -> Result<(), String> {
-        let compiled = Compiled::new(settings)?;
+        self.adopt(Policy::new(settings)?, now);
+        Ok(())
+    }
+
+    /// Goes on under a policy. Keys of issuers that stay are kept, and so is every end. Returns the policy of
+    /// before: with thousands of tenants it is not to be dropped where somebody waits.
+    pub fn adopt(&mut self, compiled: Policy, now: Now) -> Policy {
         let judged = self.steady.now(now);
         for issuer in &compiled.settings.issuers {
             let keyring = self.keyrings.entry(issuer.name.clone()).or_default();
@@ -293,10 +323,16 @@
         }
         self.tokens.resize(room(compiled.settings.cached));
         self.chains.resize(room(compiled.settings.cached));
-        self.now = compiled;
+        let before = std::mem::replace(&mut self.now, compiled);
         self.version += 1;
         self.revoke();
-        Ok(())
+        before
+    }
+
+    /// Whether a set could be taken in for an issuer, with what is held of it.
+    pub fn check_keys(&self, issuer: &str, set: &KeySet) -> Result<(), String> {
+        usable(set)?;
+        self.keyrings.get(issuer).map_or(Ok(()), |keyring| keyring.has_room(set))
     }
 
     fn revoke(&mut self) {
@@ -344,10 +380,7 @@
     fn take_in(&mut self, name: &str, set: Result<KeySet, String>, now: Millis) -> Result<(), String> {
         let issuer = self.now.issuer(name).ok_or("the issuer is gone")?;
         let set = set?;
-        // More likely a fault than the wish to have every token refused; revoking says that.
-        if set.keys.is_empty() {
-            return Err("no key that can be used".into());
-        }
+        usable(&set)?;
         self.keyrings.entry(name.into()).or_default().take_in(&set, issuer, now)
     }
 
@@ -542,7 +575,7 @@
 
 /// Whether what has been verified once is still good, and for whom.
 fn still(
-    compiled: &Compiled,
+    compiled: &Policy,
     keyrings: &HashMap<String, Keyring>,
     version: u64,
     fact: &mut TokenFact,
--- a/crates/identity/src/jwks.rs
+++ b/crates/identity/src/jwks.rs
@@ -5,9 +5,8 @@
 //! 5) asks; a key that looks usable and is not turns the whole set down, as does one that gives away its private
 //! half.
 
-use crate::Millis;
 use crate::json::{self, Bounds};
-use crate::token::LONGEST_NAME;
+use crate::{LONGEST_NAME, Millis};
 use base64::Engine;
 use base64::prelude::BASE64_URL_SAFE_NO_PAD;
 use ring::digest;
--- a/crates/identity/src/keyring.rs
+++ b/crates/identity/src/keyring.rs
@@ -115,11 +115,8 @@
     /// has changed.
     pub fn take_in(&mut self, set: &KeySet, issuer: &Issuer, now: Millis) -> Result<(), String> {
         self.settle(now);
+        self.has_room(set)?;
         let published = |held: &Held| set.keys.iter().any(|new| new.key.thumbprint == held.key.thumbprint);
-        let stay = self.held.values().flatten().filter(|held| !published(held)).count();
-        if stay + set.keys.len() > MOST_HELD {
-            return Err(format!("{} keys and {stay} that retire are over {MOST_HELD}", set.keys.len()));
-        }
         for held in self.held.values_mut().flatten().filter(|held| !published(held)) {
             // From now on, unless that has begun already.
             if std::mem::take(&mut held.published) {
@@ -143,6 +140,16 @@
         Ok(())
     }
 
+    /// Whether a set and what would retire by it stay within bounds.
+    pub fn has_room(&self, set: &KeySet) -> Result<(), String> {
+        let published = |held: &Held| set.keys.iter().any(|new| new.key.thumbprint == held.key.thumbprint);
+        let stay = self.held.values().flatten().filter(|held| !published(held)).count();
+        match stay + set.keys.len() > MOST_HELD {
+            true => Err(format!("{} keys and {stay} that retire are over {MOST_HELD}", set.keys.len())),
+            false => Ok(()),
+        }
+    }
+
     /// Makes what operators say hold, for what is there and what comes.
     pub fn agree(&mut self, issuer: &Issuer) {
         let earlier = |one: Option<Millis>, other: Option<Millis>| one.into_iter().chain(other).min();
--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -39,3 +39,6 @@
 
 /// A point in time or a span in milliseconds; points are on the Unix clock unless they are said not to be.
 pub type Millis = u64;
+
+/// The longest name of a key, an issuer or a subject.
+pub const LONGEST_NAME: usize = 256;
--- a/crates/identity/src/token.rs
+++ b/crates/identity/src/token.rs
@@ -3,10 +3,10 @@
 //! Reading proves nothing. [`Signed::parse`] splits a token and reads its header; the caller finds the key, has it
 //! verify [`Signed::input`], and only then looks at [`Claims`].
 
-use crate::Millis;
 use crate::caller::Reason;
 use crate::json::{self, Bounds};
 use crate::jwks::Algorithm;
+use crate::{LONGEST_NAME, Millis};
 use base64::Engine;
 use base64::prelude::BASE64_URL_SAFE_NO_PAD;
 use serde_json::{Map, Value};
@@ -15,8 +15,6 @@
 pub const LONGEST: usize = 4 * 1024;
 const HEADER: Bounds = Bounds { bytes: 1024, depth: 2, entries: 16 };
 const CLAIMS: Bounds = Bounds { bytes: LONGEST, depth: 5, entries: 64 };
-/// The longest name of a key, an issuer or a subject.
-pub const LONGEST_NAME: usize = 256;
 /// Times beyond this many seconds are no times.
 const LAST_SECOND: f64 = 253_402_300_799.0;
 
--- a/crates/identity/tests/certificates.rs
+++ b/crates/identity/tests/certificates.rs
@@ -81,7 +81,7 @@
 #[test]
 fn names_in_certificates_lead_to_tenants() {
     let ca = ca("one");
-    let mut authority = Authority::new(settings(), 7, at(0)).unwrap();
+    let mut authority = Authority::under(settings(), 7, at(0)).unwrap();
     let mut ask = |names: &[SanType]| {
         let shown = ca.certificate(names, 1, 3_600_000);
         authority.set_trust(Some(trust(&[&ca], &[], false)));
@@ -103,7 +103,7 @@
 fn an_identity_ends_with_its_certificate_root_serial_or_tenant() {
     let (one, other) = (ca("one"), ca("other"));
     let shown = one.certificate(&[uri("spiffe://example/payments/a")], 0x1f, 60_000);
-    let mut authority = Authority::new(settings(), 7, at(0)).unwrap();
+    let mut authority = Authority::under(settings(), 7, at(0)).unwrap();
     assert_eq!(ask(&mut authority, &shown, 0), Err(Reason::CertificateUntrusted), "no roots yet");
     let set = |authority: &mut Authority, trust| authority.set_trust(Some(trust));
     set(&mut authority, trust(&[&one], &[], false));
--- a/crates/identity/tests/common/mod.rs
+++ b/crates/identity/tests/common/mod.rs
@@ -108,7 +108,7 @@
 }
 
 pub fn authority(settings: Settings, set: &KeySet) -> Authority {
-    let mut authority = Authority::new(settings, 7, at(0)).unwrap();
+    let mut authority = Authority::under(settings, 7, at(0)).unwrap();
     authority.keys(ISS, Ok(set.clone()), at(0)).unwrap();
     authority
 }
--- a/crates/identity/tests/lives.rs
+++ b/crates/identity/tests/lives.rs
@@ -124,7 +124,7 @@
     let (key, next) = (signer("k", Algorithm::EdDsa), signer("next", Algorithm::EdDsa));
     let mut told = settings();
     told.issuers[0].source = url(3_600_000, 5_000, 7_200_000);
-    let mut authority = Authority::new(told, 7, at(0)).unwrap();
+    let mut authority = Authority::under(told, 7, at(0)).unwrap();
     assert_eq!(authority.due(at(0)).len(), 1, "the first is due at once");
     authority.keys(ISS, Ok(jwks(&[&key])), at(10)).unwrap();
     let flood: Vec<String> =
@@ -216,7 +216,7 @@
     let passed = serde_json::to_string(&old.hand_over(at(61_000))).unwrap();
     // The new one reads an older file, whose keys are all there, under a clock that is behind.
     let behind = |ms: u64| Now { unix: T0 + ms - 30_000, monotonic: ms };
-    let mut new = Authority::new(settings(), 9, behind(61_000)).unwrap();
+    let mut new = Authority::under(settings(), 9, behind(61_000)).unwrap();
     new.take_over(serde_json::from_str(&passed).unwrap(), behind(61_000));
     new.keys(ISS, Ok(all), behind(61_000)).unwrap();
     let mut ask = |key, ms| {
@@ -231,7 +231,7 @@
 
 #[test]
 fn networks_lead_to_tenants_by_the_longest_prefix() {
-    let authority = Authority::new(settings(), 7, at(0)).unwrap();
+    let authority = Authority::under(settings(), 7, at(0)).unwrap();
     let tenant = |ip: &str| authority.network(ip.parse().unwrap()).map(|caller| caller.tenant.to_string());
     assert_eq!(tenant("10.2.3.4").unwrap(), "payments");
     assert_eq!(tenant("10.1.3.4").unwrap(), "guides");
@@ -266,7 +266,7 @@
 
 #[test]
 fn who_shows_nothing_is_refused_unless_the_file_names_a_tenant() {
-    let mut authority = Authority::new(settings(), 7, at(0)).unwrap();
+    let mut authority = Authority::under(settings(), 7, at(0)).unwrap();
     assert_eq!(authority.admit(Credentials::default(), at(0)), Err(Reason::Missing));
     authority.renew(Settings { anonymous: Some("guides".into()), ..settings() }, at(0)).unwrap();
     assert_eq!(&*authority.admit(Credentials::default(), at(0)).unwrap().tenant, "guides");
--- a/src/commands/identity.rs
+++ b/src/commands/identity.rs
@@ -267,7 +267,7 @@
 
 /// What a gateway under this file knows at that moment, with `ISSUER=FILE` in place of other sources.
 fn authority(identity: &Identity, keys: &[String], now: Now) -> Result<Authority, String> {
-    let mut authority = Authority::new(identity.settings.clone(), 0, now)?;
+    let mut authority = Authority::under(identity.settings.clone(), 0, now)?;
     let told = |issuer: &str| keys.iter().find_map(|key| key.strip_prefix(issuer)?.strip_prefix('='));
     for issuer in &identity.settings.issuers {
         let set = match (told(&issuer.name), &issuer.source) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,8 +4,8 @@
 //! file's values. What the platform does not know stands in the operators' file ([`crate::operators`]). Every message
 //! names the key at fault, or the place.
 
+use crate::events::Batch;
 use crate::interface::Settings;
-use crate::net::bus::Batch;
 use crate::operators::{self, Operators};
 use crate::settings::{Names, settings};
 use serde::Deserialize;
--- /dev/null
+++ b/src/events.rs
@@ -0,0 +1,118 @@
+//! The event bus's events, as it tells them, and what they say of stores.
+
+use crate::interface::{ListKind, Member, MemberId, MemberState};
+use crate::settings::Names;
+use serde::Deserialize;
+
+/// A stretch of numbered events, as a poll's answer and `known` hold it.
+#[derive(Debug, Deserialize)]
+pub struct Batch {
+    pub offset: u64,
+    pub batch: Vec<Event>,
+}
+
+impl Batch {
+    /// What is new. A bus that is called anew may repeat itself, and an old event must not undo a later one.
+    pub fn after(mut self, last: u64) -> Batch {
+        self.batch.retain(|event| event.offset > last);
+        self
+    }
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Event {
+    pub offset: u64,
+    #[serde(default)]
+    pub topology: Option<Topology>,
+    #[serde(default)]
+    pub ban: Option<Ban>,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Topology {
+    #[serde(default)]
+    pub reset: bool,
+    #[serde(default)]
+    pub instances: Vec<Instance>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    pub instance_id: String,
+    #[serde(default)]
+    pub host_port: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub machine_type: String,
+    #[serde(default)]
+    pub cell: u32,
+    pub lifecycle: String,
+    #[serde(default)]
+    pub weight: f64,
+    #[serde(default)]
+    pub started_at_ms: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub struct Ban {
+    #[serde(default)]
+    pub url: Option<String>,
+    #[serde(default)]
+    pub tag: Option<u64>,
+    #[serde(default)]
+    pub ts: u64,
+}
+
+/// The number under which a store's name is known here, the same at every gateway.
+pub fn member_id(name: &str) -> MemberId {
+    let hex = name.rsplit('-').next().unwrap_or(name);
+    let fnv = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+    MemberId(u32::from_str_radix(hex, 16).unwrap_or_else(|_| name.bytes().fold(0x811c_9dc5, fnv)))
+}
+
+/// A line of the list, with `started` already on the monotonic clock. An unknown state counts as gone:
+/// nothing new may go where nobody said that it serves.
+pub fn member(line: &Instance, names: &Names, started: Option<u64>) -> Member {
+    Member {
+        id: member_id(&line.instance_id),
+        role: names.role(&line.machine_type),
+        zone: names.zones.get(&line.zone).copied(),
+        cell: line.cell,
+        weight: line.weight,
+        started,
+        state: match line.lifecycle.as_str() {
+            "up" => MemberState::Serving,
+            "draining" => MemberState::Draining,
+            _ => MemberState::Gone,
+        },
+    }
+}
+
+/// Which part of the list an event holds: the first one, and one that says so, holds all of it.
+pub fn list_kind(topology: &Topology, first: bool) -> ListKind {
+    if topology.reset || first { ListKind::Complete } else { ListKind::Changes }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[test]
+    fn events_told_twice_count_once() {
+        let text = r#"{"offset":3,"batch":[{"offset":1},{"offset":2},{"offset":3,"ban":{"tag":1,"ts":5}}]}"#;
+        let batch: Batch = serde_json::from_str(text).unwrap();
+        let new: Vec<u64> = batch.after(2).batch.iter().map(|event| event.offset).collect();
+        assert_eq!(new, [3]);
+    }
+
+    #[rstest]
+    #[case("s-00c41f7a", 0x00c4_1f7a)]
+    #[case("ff", 0xff)]
+    fn names_with_a_number_keep_it(#[case] name: &str, #[case] id: u32) {
+        assert_eq!(member_id(name), MemberId(id));
+        assert_ne!(member_id("box one"), member_id("box two"));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod commands;
 pub mod config;
 pub mod consensus;
+pub mod events;
 mod hash;
 pub mod interface;
 pub mod issue;
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -3,7 +3,7 @@
 //! Its places are apart from the clients', and half calls can't use them up: where all are taken, the one
 //! that has waited longest for its caller makes way.
 
-use super::gateway::Shared;
+use super::core::Core;
 use super::handover::{Intent, Keeper};
 use super::http::{Answer, Bad, Secret, turned_away};
 use super::lock;
@@ -86,11 +86,11 @@
 
 /// Whether the caller may: everyone may ask whether the gateway is ready, and the rest is for operators, where the
 /// file names any.
-fn allowed(shared: &Shared, call: &Call, shown: Credentials) -> Result<(), Reason> {
+fn allowed(core: &Core, call: &Call, shown: Credentials) -> Result<(), Reason> {
     if *call == Call::Ready {
         return Ok(());
     }
-    let Some(operator) = shared.guard.operator(shown)? else { return Ok(()) };
+    let Some(operator) = core.guard.operator(shown)? else { return Ok(()) };
     match call {
         Call::Change(intent) if !operator.may_change => {
             tracing::warn!(operator = %operator.name, ?intent, "operators: no right to change");
@@ -104,20 +104,22 @@
     }
 }
 
-fn answer(shared: &Shared, keeper: &Keeper, call: Call) -> Answer {
+fn answer(core: &Core, keeper: &Keeper, call: Call) -> Answer {
     let plain = |status, text: &str| Answer::new(status, format!("{text}\n").into());
     match call {
-        Call::Keys => match shared.guard.report().map(|report| serde_json::to_vec(&report)) {
+        Call::Keys => match core.guard.report().map(|report| serde_json::to_vec(&report)) {
             Some(Ok(text)) => Answer::new(200, text),
             Some(Err(e)) => plain(500, &e.to_string()),
             None => plain(404, "identity is off"),
         },
-        Call::Metrics => Answer::new(200, shared.guard.metrics_text().into()),
-        Call::Ready => match shared.not_ready() {
+        Call::Metrics => Answer::new(200, core.guard.metrics_text().into()),
+        Call::Ready => match core.not_ready() {
             None => plain(200, "ready"),
             Some(cause) => plain(503, cause),
         },
-        Call::Change(Intent::TakeOut(id) | Intent::PutBack(id)) if !shared.has_store(&id) => {
+        Call::Change(Intent::TakeOut(id) | Intent::PutBack(id))
+            if !(core.stores.knows(&id) || keeper.names(&id)) =>
+        {
             plain(404, "no such store")
         }
         Call::Change(intent) => match keeper.amend(intent.clone()) {
@@ -158,7 +160,7 @@
 }
 
 /// Answers operators for ever.
-pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, keeper: Keeper) {
+pub fn listen(core: &Arc<Core>, listener: &TcpListener, keeper: Keeper) {
     let (desk, keeper) = (Arc::new(Desk::default()), Arc::new(keeper));
     let tidied = desk.clone();
     super::spawn(move || {
@@ -178,12 +180,12 @@
         };
         let caller = Caller { stream: stream.clone(), since: Instant::now(), heard: false };
         lock(&desk.callers).insert(number, caller);
-        let (shared, keeper, ours) = (shared.clone(), keeper.clone(), desk.clone());
-        let terms = shared.guard.tls_of_admin();
+        let (core, keeper, ours) = (core.clone(), keeper.clone(), desk.clone());
+        let terms = core.guard.tls_of_admin();
         let speaks_tls = terms.is_some();
         let work = move || {
             let done = super::Defer(|| drop(lock(&ours.callers).remove(&number)));
-            if let Err(e) = serve(&shared, &keeper, &ours, number, &stream, terms.as_deref()) {
+            if let Err(e) = serve(&core, &keeper, &ours, number, &stream, terms.as_deref()) {
                 log::debug!("operators: {e}");
             }
             drop(done);
@@ -201,7 +203,7 @@
 }
 
 fn serve(
-    shared: &Shared,
+    core: &Core,
     keeper: &Keeper,
     desk: &Desk,
     number: u64,
@@ -218,8 +220,8 @@
             Ok(Some(Asked { call, bearer })) => {
                 let certificate = secure.as_ref().and_then(Secure::presented);
                 let shown = Credentials { bearer: bearer.as_ref().map(Secret::told), certificate };
-                break match allowed(shared, &call, shown) {
-                    Ok(()) => answer(shared, keeper, call),
+                break match allowed(core, &call, shown) {
+                    Ok(()) => answer(core, keeper, call),
                     Err(reason) => turned_away(reason),
                 };
             }
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -1,11 +1,9 @@
 //! The event bus: lists of stores and purges, by long poll.
 
-use super::gateway::Shared;
+use super::core::Core;
 use super::lock;
-use crate::interface::{ListKind, Member, MemberId, MemberState};
-use crate::settings::Names;
+use crate::events::Batch;
 use may::net::TcpStream;
-use serde::Deserialize;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -21,92 +19,6 @@
 /// A list of hundreds of stores fits well.
 const LARGEST: usize = 4 * 1024 * 1024;
 
-/// A stretch of numbered events, as a poll's answer and `known` hold it.
-#[derive(Debug, Deserialize)]
-pub struct Batch {
-    pub offset: u64,
-    pub batch: Vec<Event>,
-}
-
-impl Batch {
-    /// What is new. A bus that is called anew may repeat itself, and an old event must not undo a later one.
-    fn after(mut self, last: u64) -> Batch {
-        self.batch.retain(|event| event.offset > last);
-        self
-    }
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Event {
-    pub offset: u64,
-    #[serde(default)]
-    pub topology: Option<Topology>,
-    #[serde(default)]
-    pub ban: Option<Ban>,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Topology {
-    #[serde(default)]
-    pub reset: bool,
-    #[serde(default)]
-    pub instances: Vec<Instance>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Instance {
-    pub instance_id: String,
-    #[serde(default)]
-    pub host_port: String,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub machine_type: String,
-    #[serde(default)]
-    pub cell: u32,
-    pub lifecycle: String,
-    #[serde(default)]
-    pub weight: f64,
-    #[serde(default)]
-    pub started_at_ms: u64,
-}
-
-#[derive(Debug, Deserialize)]
-pub struct Ban {
-    #[serde(default)]
-    pub url: Option<String>,
-    #[serde(default)]
-    pub tag: Option<u64>,
-    #[serde(default)]
-    pub ts: u64,
-}
-
-/// The number under which a store's name is known here, the same at every gateway.
-pub fn member_id(name: &str) -> MemberId {
-    let hex = name.rsplit('-').next().unwrap_or(name);
-    let fnv = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
-    MemberId(u32::from_str_radix(hex, 16).unwrap_or_else(|_| name.bytes().fold(0x811c_9dc5, fnv)))
-}
-
-/// A line of the list, with `started` already on the monotonic clock. An unknown state counts as gone:
-/// nothing new may go where nobody said that it serves.
-pub fn member(line: &Instance, names: &Names, started: Option<u64>) -> Member {
-    Member {
-        id: member_id(&line.instance_id),
-        role: names.role(&line.machine_type),
-        zone: names.zones.get(&line.zone).copied(),
-        cell: line.cell,
-        weight: line.weight,
-        started,
-        state: match line.lifecycle.as_str() {
-            "up" => MemberState::Serving,
-            "draining" => MemberState::Draining,
-            _ => MemberState::Gone,
-        },
-    }
-}
-
 /// What a poll's answer begins with: where its body starts, and how long that is if told.
 #[derive(Debug, PartialEq)]
 struct Head {
@@ -223,35 +135,35 @@
 
 /// Takes in what is new of a batch. Held throughout: two followers that overlap must not take an event twice,
 /// nor a later one first.
-pub fn take(shared: &Shared, batch: Batch) {
-    let mut last = lock(&shared.feed.last);
+pub fn take(feed: &Feed, core: &Core, batch: Batch) {
+    let mut last = lock(&feed.last);
     let batch = batch.after(*last);
     *last = batch.offset.max(*last);
-    shared.apply(batch);
+    core.apply(batch);
 }
 
 /// Follows the bus at an address, from the last event on, in place of the follower before. That one still
 /// hands on what its poll under way brings, and then ends.
-pub fn follow(shared: &Arc<Shared>, at: SocketAddr) {
-    let shared = shared.clone();
-    let number = shared.feed.follower.fetch_add(1, Ordering::SeqCst) + 1;
-    super::spawn(move || poll(&shared, at, number));
+pub fn follow(feed: &Arc<Feed>, core: &Arc<Core>, at: SocketAddr) {
+    let (feed, core) = (feed.clone(), core.clone());
+    let number = feed.follower.fetch_add(1, Ordering::SeqCst) + 1;
+    super::spawn(move || poll(&feed, &core, at, number));
 }
 
 /// Polls and hands every event on. A lost connection is opened again at once.
-fn poll(shared: &Shared, at: SocketAddr, number: u64) {
+fn poll(feed: &Feed, core: &Core, at: SocketAddr, number: u64) {
     let mut line: Option<(TcpStream, Vec<u8>)> = None;
     let mut told = false;
-    while shared.feed.follower.load(Ordering::SeqCst) == number {
+    while feed.follower.load(Ordering::SeqCst) == number {
         let fresh = line.is_none();
-        let last = *lock(&shared.feed.last);
+        let last = *lock(&feed.last);
         let mut poll = || -> io::Result<Batch> {
             let (mut stream, mut buffer) = match line.take() {
                 Some(line) => line,
                 None => (connect(at)?, Vec::new()),
             };
             // The first word is wanted at once, also where it is that there is nothing new.
-            let hold = if shared.feed.caught_up() { HOLD_MS } else { 0 };
+            let hold = if feed.caught_up() { HOLD_MS } else { 0 };
             let ask = format!("GET /bus/read?from={last}&hold={hold} HTTP/1.1\r\nHost: {at}\r\n\r\n");
             stream.write_all(ask.as_bytes())?;
             let (body, keep) = answer(&mut stream, &mut buffer)?;
@@ -265,8 +177,8 @@
                 if std::mem::take(&mut told) {
                     log::info!("event bus: connected again");
                 }
-                take(shared, batch);
-                shared.feed.answered.store(true, Ordering::SeqCst);
+                take(feed, core, batch);
+                feed.answered.store(true, Ordering::SeqCst);
             }
             Err(e) => {
                 // Once a trouble, not once a try; and one that refuses at once is not asked in a busy loop.
@@ -281,11 +193,6 @@
     }
 }
 
-/// Which part of the list an event holds: the first one, and one that says so, holds all of it.
-pub fn list_kind(topology: &Topology, first: bool) -> ListKind {
-    if topology.reset || first { ListKind::Complete } else { ListKind::Changes }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -328,20 +235,4 @@
     fn bad_answers_are_errors(#[case] text: &str) {
         assert!(answer(&mut text.as_bytes(), &mut Vec::new()).is_err());
     }
-
-    #[test]
-    fn events_told_twice_count_once() {
-        let text = r#"{"offset":3,"batch":[{"offset":1},{"offset":2},{"offset":3,"ban":{"tag":1,"ts":5}}]}"#;
-        let batch: Batch = serde_json::from_str(text).unwrap();
-        let new: Vec<u64> = batch.after(2).batch.iter().map(|event| event.offset).collect();
-        assert_eq!(new, [3]);
-    }
-
-    #[rstest]
-    #[case("s-00c41f7a", 0x00c4_1f7a)]
-    #[case("ff", 0xff)]
-    fn names_with_a_number_keep_it(#[case] name: &str, #[case] id: u32) {
-        assert_eq!(member_id(name), MemberId(id));
-        assert_ne!(member_id("box one"), member_id("box two"));
-    }
 }
--- /dev/null
+++ b/src/net/core.rs
@@ -0,0 +1,407 @@
+//! The path of one request, from a front through the broker to a store and back, and what all of it shares.
+
+use super::clients::Clients;
+use super::clock::Clock;
+use super::identity::Guard;
+use super::service::{Client, Final, Leaving, Service, Work};
+use super::snapshot::Snapshot;
+use super::store::{Answered, End, Limits, Reply, Stores};
+use super::{Place, lock};
+use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
+use crate::events::{self, Batch, Event, list_kind};
+use crate::interface::*;
+use crate::settings::{Connections, Deployment};
+use may::sync::mpsc;
+use sagearch_identity::Caller;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
+use std::time::Duration;
+
+/// A KILL, or the end of a connection, is on its way this long at most before the next attempt goes out by
+/// another one: from afar it would arrive behind that, and two attempts would be out at once.
+const SETTLES: Duration = Duration::from_millis(10);
+/// A drained gateway closes what is idle after this, and what has not asked for anything after that: 4 s
+/// after the drain's begin no client may hold a connection with a request of the 2 s before.
+const DRAINED_IDLE: Duration = Duration::from_millis(1_000);
+const DRAINED_ASKING: Duration = Duration::from_millis(1_700);
+/// After SIGTERM the process is ended once the longest wait is over, counted as 3 s at least, and 0.7 s more.
+const STAY_LEAST: Micros = 3_000_000;
+const STAY_ON_TOP: Micros = 700_000;
+const STAY_SPARE: Micros = 200_000;
+/// Clients close idle connections after 4 s: one that hands over waits for that, so that no request crosses
+/// with a close, as far as there is time for a last request.
+const HANDED_OVER_IDLE: Duration = Duration::from_millis(4_200);
+const LAST_REQUEST: Micros = 1_500_000;
+
+/// What a waiting request is told.
+#[derive(Debug)]
+pub enum Note {
+    Verdict(Verdict),
+    Reply {
+        attempt: u32,
+        reply: Reply,
+    },
+    /// It is time to see whether the client is still there.
+    Look,
+}
+
+/// Where a request's coroutine waits. Sending never blocks.
+#[derive(Clone)]
+pub struct Mailbox(mpsc::Sender<Note>);
+
+impl Waiter for Mailbox {
+    fn deliver(&self, verdict: Verdict) {
+        let _ = self.0.send(Note::Verdict(verdict));
+    }
+}
+
+impl Answered for Mailbox {
+    fn reply(&self, attempt: u32, reply: Reply) {
+        let _ = self.0.send(Note::Reply { attempt, reply });
+    }
+}
+
+/// Connections of a process, or at most so many.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub(super) struct Held {
+    clients: usize,
+    stores: usize,
+}
+
+impl Held {
+    /// Places of clients that one process lacks for what the other holds, and for its own connections to stores.
+    fn over(self, stores: usize, most_stores: usize) -> usize {
+        (self.clients + self.stores + stores).saturating_sub(most_stores)
+    }
+}
+
+/// What all coroutines of a gateway share.
+pub struct Core {
+    pub clock: Clock,
+    broker: Arc<Mutex<Broker<Mailbox>>>,
+    pub(super) stores: Arc<Stores<Mailbox>>,
+    pub(super) clients: Arc<Clients>,
+    /// Requests whose clients wait. Their ids come from outside and may repeat, so they have a number.
+    watched: Mutex<HashMap<u64, Mailbox>>,
+    watches: AtomicU64,
+    listed: AtomicBool,
+    /// Lists are applied, what lasts is read, and clients are listened for.
+    pub(super) ready: AtomicBool,
+    /// The process has been told to stop, at that time.
+    pub(super) stopping: OnceLock<Micros>,
+    /// Another process accepts at the same socket, or will.
+    pub(super) socket_shared: bool,
+    /// Connections to stores that may be held at once.
+    most_stores: usize,
+    /// Who calls, and with which rights.
+    pub guard: Arc<Guard>,
+    /// Another process of this gateway is there, and these ids it is still to be told of.
+    pub(super) beside: AtomicBool,
+    pub(super) fresh: Mutex<Vec<u64>>,
+    pub(super) open: Arc<AtomicUsize>,
+}
+
+impl Core {
+    pub fn broker(&self) -> MutexGuard<'_, Broker<Mailbox>> {
+        lock(&self.broker)
+    }
+
+    /// A core without members, which takes nothing yet.
+    pub(super) fn new(parts: Parts) -> Core {
+        let Parts { clock, broker, guard, clients, sockets, connections, socket_shared } = parts;
+        let asked = broker.clone();
+        let gate = Arc::new(move |order: &Order| lock(&asked).may_send(order));
+        Core {
+            clock,
+            broker,
+            stores: Stores::new(limits(connections, sockets), gate),
+            clients,
+            watched: Mutex::default(),
+            watches: AtomicU64::new(0),
+            listed: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
+            stopping: OnceLock::new(),
+            socket_shared,
+            most_stores: sockets / 3,
+            guard,
+            beside: AtomicBool::new(false),
+            fresh: Mutex::default(),
+            open: Arc::default(),
+        }
+    }
+
+    /// The settings in force. One who takes them keeps them whole.
+    pub fn deployment(&self) -> Arc<Deployment> {
+        self.guard.snapshot().deployment.clone()
+    }
+
+    /// Goes on under new settings, from the limits of connections to the module.
+    pub(super) fn retune(&self, deployment: &Deployment, sockets: usize) {
+        self.stores.set_limits(limits(deployment.names.connections, sockets));
+        self.broker().retune(self.clock.now(), deployment.settings.clone());
+    }
+
+    /// Why this process does not take clients now; `None`: it does.
+    pub fn not_ready(&self) -> Option<&'static str> {
+        if self.stopping.get().is_some() {
+            return Some("stopping");
+        }
+        if !self.ready.load(Ordering::SeqCst) {
+            return Some("starting");
+        }
+        if self.guard.sealed() {
+            return Some("the operators' file can't be used");
+        }
+        self.broker().drained().map(|_| "drained")
+    }
+
+    /// How long after it was told to stop the process is sure to be there.
+    fn stay(&self) -> Micros {
+        self.deployment().names.longest_wait.max(STAY_LEAST) + STAY_ON_TOP
+    }
+
+    /// What this process holds.
+    pub(super) fn held(&self) -> Held {
+        Held { clients: self.clients.seated(), stores: self.stores.connections() }
+    }
+
+    /// Leaves to the other process of this gateway what it holds: two have no more than one. Clients may be as
+    /// many as ever as long as there are descriptors, as those of both kinds are one budget.
+    pub(super) fn leave_to(&self, there: Held) {
+        self.clients.take_places(there.over(self.held().stores, self.most_stores));
+        self.stores.take_places(there.stores);
+    }
+
+    /// Takes in events of the bus.
+    pub fn apply(&self, batch: Batch) {
+        for Event { topology, ban, .. } in batch.batch {
+            if let Some(topology) = topology {
+                let first = !self.listed.swap(true, Ordering::SeqCst);
+                let kind = list_kind(&topology, first);
+                if kind == ListKind::Complete {
+                    self.stores.all_gone();
+                }
+                let (mut members, deployment) = (Vec::new(), self.deployment());
+                for line in &topology.instances {
+                    let member = events::member(line, &deployment.names, self.clock.at(line.started_at_ms));
+                    let gone = member.state == MemberState::Gone;
+                    self.stores.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
+                    log::info!("{} is {}", line.instance_id, line.lifecycle);
+                    members.push(member);
+                }
+                self.broker().members(self.clock.now(), kind, members);
+            }
+            if let Some(ban) = ban {
+                log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
+                let ago = self.clock.ago(ban.ts);
+                self.broker().purged(self.clock.now(), ban.url, ban.tag, ago);
+            }
+        }
+    }
+
+    fn run(
+        &self,
+        request: Request,
+        caller: &Arc<Caller>,
+        work: &Work,
+        client: Option<&dyn Client>,
+        mailbox: &Mailbox,
+        notes: &mpsc::Receiver<Note>,
+    ) -> Final {
+        let id = request.id;
+        let mut verdict = self.broker().pick(self.clock.now(), request, caller.clone(), mailbox.clone());
+        let mut settles = false;
+        loop {
+            let mut out = None;
+            match verdict.take() {
+                Some(Verdict::Attempt(order)) => {
+                    if std::mem::take(&mut settles) {
+                        may::coroutine::sleep(SETTLES);
+                    }
+                    let ticket = match work {
+                        Work::Pull(pull) => self.stores.pull(&order, pull, mailbox.clone()),
+                        Work::Check => self.stores.echo(&order, mailbox.clone()),
+                    };
+                    out = Some((order, ticket));
+                }
+                Some(Verdict::Refused { backoff }) => return Final::Refused(backoff),
+                Some(Verdict::Failed) => return Final::Failed,
+                None => {}
+            }
+            while verdict.is_none() {
+                match notes.recv() {
+                    // A timer decided: the attempt that is still out is given up before another goes out.
+                    Ok(Note::Verdict(next)) => {
+                        settles = out.take().is_some_and(|(order, ticket)| {
+                            let source = order.fill.and_then(|fill| fill.source).map_or(0, |source| source.0);
+                            log::debug!(
+                                "{:016x} attempt {} at {:08x} from {source:08x}: given up",
+                                order.request.0,
+                                order.attempt,
+                                order.member.0,
+                            );
+                            ticket.kill(true)
+                        });
+                        verdict = Some(next);
+                    }
+                    Ok(Note::Reply { attempt, reply }) => {
+                        let Some((order, _)) = out.take_if(|(order, _)| order.attempt == attempt) else {
+                            continue;
+                        };
+                        settles = reply.end == End::Reset;
+                        match self.ended(&order, work, &reply) {
+                            Next::Done if reply.end == End::Yes => return Final::Checked(order),
+                            Next::Done => return Final::Served(reply),
+                            Next::Verdict(next) => verdict = Some(next),
+                            Next::Wait => {}
+                        }
+                    }
+                    Ok(Note::Look) if client.is_none_or(Client::still_there) => {}
+                    Ok(Note::Look) | Err(_) => {
+                        out.take().map(|(_, ticket)| ticket.kill(false));
+                        self.broker().abandon(self.clock.now(), id);
+                        return Final::Gone;
+                    }
+                }
+            }
+        }
+    }
+
+    fn ended(&self, order: &Order, work: &Work, reply: &Reply) -> Next {
+        let now = self.clock.now();
+        let outcome = match (work, reply.end.outcome()) {
+            (Work::Check, Outcome::Checked) => return self.broker().checked(now, order),
+            // An answer of the other kind proves nothing.
+            (Work::Check, Outcome::Served) | (Work::Pull(_), Outcome::Checked) => Outcome::Failed,
+            (_, outcome) => outcome,
+        };
+        let how = Ended { outcome, detail: reply.detail, load: reply.load() };
+        log::debug!(
+            "{:016x} attempt {} at {:08x}: {outcome:?} {:?} after {} ms for {}",
+            order.request.0,
+            order.attempt,
+            order.member.0,
+            how.detail,
+            now.saturating_sub(order.picked) / 1_000,
+            order.caller.tenant,
+        );
+        self.broker().report(now, order.request, order.attempt, how)
+    }
+
+    pub(super) fn watch(&self) {
+        lock(&self.watched).values().for_each(|mailbox| {
+            let _ = mailbox.0.send(Note::Look);
+        });
+    }
+}
+
+impl Service for Core {
+    fn snapshot(&self) -> Arc<Snapshot> {
+        self.guard.snapshot()
+    }
+
+    fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    fn carry(
+        &self,
+        request: Request,
+        caller: &Arc<Caller>,
+        work: &Work,
+        client: Option<&dyn Client>,
+    ) -> Final {
+        let (mail, notes) = mpsc::channel();
+        let mailbox = Mailbox(mail);
+        let watch = client.map(|_| self.watches.fetch_add(1, Ordering::Relaxed));
+        if let Some(watch) = watch {
+            lock(&self.watched).insert(watch, mailbox.clone());
+        }
+        let end = self.run(request, caller, work, client, &mailbox, &notes);
+        if let Some(watch) = watch {
+            lock(&self.watched).remove(&watch);
+        }
+        end
+    }
+
+    fn taken(&self) -> Option<Place> {
+        Place::take(&self.open, usize::MAX)
+    }
+
+    fn used(&self, id: u64) {
+        if self.beside.load(Ordering::Relaxed) {
+            lock(&self.fresh).push(id);
+        }
+    }
+
+    fn time_left(&self) -> Micros {
+        let Some(since) = self.stopping.get().filter(|_| self.socket_shared) else { return Micros::MAX };
+        (since + self.stay()).saturating_sub(self.clock.now() + STAY_SPARE)
+    }
+
+    fn leaving(&self) -> Option<Leaving> {
+        let since = |at: Micros| Duration::from_micros(self.clock.now().saturating_sub(at));
+        if let Some(at) = self.stopping.get().filter(|_| self.socket_shared) {
+            let idle = HANDED_OVER_IDLE.min(Duration::from_micros(self.stay() - LAST_REQUEST));
+            return Some(Leaving { since: since(*at), idle, asking: idle });
+        }
+        let at = self.broker().drained()?;
+        Some(Leaving { since: since(at), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
+    }
+
+    fn drained(&self) -> bool {
+        self.broker().drained().is_some()
+    }
+
+    fn handed_over(&self) -> bool {
+        self.socket_shared && self.stopping.get().is_some()
+    }
+
+    fn address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.stores.address(member)
+    }
+}
+
+/// What the settings say of connections to stores, and the descriptors for them.
+fn limits(told: Connections, sockets: usize) -> Limits {
+    Limits {
+        streams: told.streams,
+        // Next to two fifths for clients; the rest is for the bus, operators, the worker and clients being
+        // turned away.
+        connections: sockets / 3,
+        connect: Duration::from_micros(told.timeout),
+        // Well before the store closes it: a request must not cross with that.
+        idle: Duration::from_micros(told.keepalive) * 2 / 3,
+    }
+}
+
+/// What a core is made of.
+pub(super) struct Parts {
+    pub clock: Clock,
+    pub broker: Arc<Mutex<Broker<Mailbox>>>,
+    pub guard: Arc<Guard>,
+    pub clients: Arc<Clients>,
+    pub sockets: usize,
+    pub connections: Connections,
+    pub socket_shared: bool,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// Of 384 descriptors 153 are for clients and 128 for stores, however two processes share them.
+    #[rstest]
+    #[case::alone(Held { clients: 0, stores: 0 }, 128, 0)]
+    #[case::an_old_one_with_many_idle(Held { clients: 100, stores: 8 }, 50, 30)]
+    #[case::an_old_one_that_waits_for_stores(Held { clients: 100, stores: 60 }, 50, 82)]
+    #[case::a_small_one(Held { clients: 20, stores: 10 }, 30, 0)]
+    fn two_processes_hold_no_more_than_one(#[case] there: Held, #[case] stores: usize, #[case] taken: usize) {
+        assert_eq!(there.over(stores, 128), taken);
+        assert!(153 - taken + there.clients + stores + there.stores <= 153 + 128);
+    }
+}
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -5,10 +5,11 @@
 //! answer. It holds for no time (a lifetime of 0), so names leave a draining member as soon as requests do.
 //! What an answer sends to a member is charged to its cold budget when it is picked.
 
-use super::gateway::{Final, Shared, Work};
 use super::lock;
+use super::service::{Final, Service, Work};
+use super::snapshot::Snapshot;
 use crate::interface::{Effect, Request, RequestId};
-use crate::operators::fronts::{Dns, Routes};
+use crate::operators::fronts::Dns;
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, ResponseCode};
 use hickory_proto::rr::rdata::{A, SOA};
 use hickory_proto::rr::{DNSClass, Name, RData, Record, RecordType};
@@ -64,7 +65,7 @@
 }
 
 struct Front {
-    shared: Arc<Shared>,
+    service: Arc<dyn Service>,
     domain: Name,
     gateway: IpAddr,
     ids: AtomicU64,
@@ -100,7 +101,7 @@
 }
 
 impl Front {
-    fn judge(&self, query: &Message, from: IpAddr, routes: &Routes) -> Judged {
+    fn judge(&self, query: &Message, from: IpAddr, snapshot: &Snapshot) -> Judged {
         let [question] = query.queries() else { return Judged::Code(ResponseCode::FormErr) };
         if query.op_code() != OpCode::Query {
             return Judged::Code(ResponseCode::NotImp);
@@ -108,7 +109,7 @@
         if query.extensions().as_ref().is_some_and(|edns| edns.version() > 0) {
             return Judged::Code(ResponseCode::BADVERS);
         }
-        let deployment = self.shared.deployment();
+        let (deployment, routes) = (&snapshot.deployment, &snapshot.routes);
         // Clients come to the gateways of their own outlet; others go on to their next server.
         let source = routes
             .sources
@@ -121,11 +122,11 @@
             return Judged::Code(ResponseCode::Refused);
         };
         // Who stands for no tenant is not told which names there are.
-        if !self.shared.guard.knows_network(from) {
+        if !self.service.guard().knows_network(from) {
             return Judged::Code(ResponseCode::Refused);
         }
         // Whoever asks is to go on to another gateway.
-        if self.shared.broker().drained().is_some() {
+        if self.service.drained() {
             return Judged::Code(ResponseCode::Refused);
         }
         match named {
@@ -138,7 +139,7 @@
                 if known.effect != Effect::Repeatable || known.uncacheable {
                     return Judged::Code(ResponseCode::Refused);
                 }
-                let Ok(caller) = self.shared.guard.admit_network(from, &known.name, &object) else {
+                let Ok(caller) = self.service.guard().admit_network(from, &known.name, &object) else {
                     return Judged::Code(ResponseCode::Refused);
                 };
                 if question.query_type() != RecordType::A {
@@ -168,13 +169,13 @@
                 return if flags & 0x80 == 0 { malformed.to_vec().ok() } else { None };
             }
         };
-        let routes = self.shared.routes();
-        let reply = match self.judge(&query, from, &routes) {
+        let snapshot = self.service.snapshot();
+        let reply = match self.judge(&query, from, &snapshot) {
             Judged::Code(code) => self.reply(&query, code, None),
             Judged::NoData => self.reply(&query, ResponseCode::NoError, None),
             Judged::Own => self.address(&query, Some(self.gateway)),
             Judged::LookUp { class, object, part, caller } => {
-                let found = self.look_up(class, object, part, &caller, routes.deadline_ms);
+                let found = self.look_up(class, object, part, &caller, snapshot.routes.deadline_ms);
                 self.address(&query, found)
             }
         };
@@ -195,7 +196,7 @@
         deadline_ms: u64,
     ) -> Option<IpAddr> {
         let _place = super::Place::take(&self.lookups, MOST_LOOKUPS)?;
-        let _open = self.shared.taken();
+        let _open = self.service.taken();
         let request = Request {
             id: RequestId(self.ids.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst)),
             class: Some(class),
@@ -205,12 +206,12 @@
             by_name: true,
             ..Request::default()
         };
-        let end = self.shared.carry(request, caller, &Work::Check, None);
-        if self.shared.guard.is_on() {
-            self.shared.guard.metrics.ended(caller, end.label());
+        let end = self.service.carry(request, caller, &Work::Check, None);
+        if self.service.guard().is_on() {
+            self.service.guard().metrics.ended(caller, end.label());
         }
         match end {
-            Final::Checked(order) => self.shared.address(order.member).map(|at| at.ip()),
+            Final::Checked(order) => self.service.address(order.member).map(|at| at.ip()),
             _ => None,
         }
     }
@@ -332,16 +333,15 @@
 }
 
 /// Starts the front. Its answers to those who ignore lifetimes hold the address of `gateway`.
-pub fn start(shared: &Arc<Shared>, dns: Dns, gateway: SocketAddr, seed: u64) -> io::Result<SocketAddr> {
+pub fn start(service: &Arc<dyn Service>, dns: Dns, gateway: SocketAddr, seed: u64) -> io::Result<SocketAddr> {
     let domain = Name::from_ascii(format!("{}.", dns.domain));
     let domain =
         domain.map_err(|e| io::Error::new(io::ErrorKind::InvalidInput, format!("dns.domain: {e}")))?;
-    shared.set_routes(dns.routes);
     let (socket, listener) = bind(dns.listen)?;
     let at = socket.local_addr()?;
     log::info!("names under {domain} are answered at {at}");
     let front = Arc::new(Front {
-        shared: shared.clone(),
+        service: service.clone(),
         domain,
         gateway: gateway.ip(),
         ids: AtomicU64::new(seed ^ 0x5eed_0fd0_0e5a_11d5),
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -3,9 +3,9 @@
 //! may run side by side for a while, so the file is the one truth: each amends it under a lock, and each
 //! looks at it again and again.
 
-use super::bus::member_id;
-use super::gateway::Shared;
+use super::core::Core;
 use super::lock;
+use crate::events::member_id;
 use may::net::{TcpListener, TcpStream};
 use may::sync::mpsc;
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::os::fd::{FromRawFd, IntoRawFd, RawFd};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
 /// How often the file is looked at: what another process was told holds here well within 1 s.
@@ -93,14 +93,22 @@
     done: mpsc::Sender<io::Result<()>>,
 }
 
-/// Where intents are handed in.
-pub struct Keeper(mpsc::Sender<Ask>);
+/// Where intents are handed in, and what they are now.
+pub struct Keeper {
+    asks: mpsc::Sender<Ask>,
+    held: Arc<Mutex<Intents>>,
+}
 
 impl Keeper {
+    /// Whether a store is out, or was until lately.
+    pub fn names(&self, store: &str) -> bool {
+        lock(&self.held).names(store)
+    }
+
     /// Returns once the intent is stored and holds here.
     pub fn amend(&self, intent: Intent) -> io::Result<()> {
         let (done, answer) = mpsc::channel();
-        self.0.send(Ask { intent, done }).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
+        self.asks.send(Ask { intent, done }).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
         answer.recv_timeout(AMENDED_WITHIN).unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()))
     }
 }
@@ -158,11 +166,11 @@
 }
 
 /// Makes new intents hold here.
-fn apply(shared: &Shared, new: Intents) {
-    let mut held = lock(&shared.intents);
-    let now = shared.clock.now();
-    let started = |store: &str| new.back.get(store).and_then(|at| shared.clock.at(*at)).unwrap_or(now);
-    let mut broker = shared.broker();
+fn apply(core: &Core, intents: &Mutex<Intents>, new: Intents) {
+    let mut held = lock(intents);
+    let now = core.clock.now();
+    let started = |store: &str| new.back.get(store).and_then(|at| core.clock.at(*at)).unwrap_or(now);
+    let mut broker = core.broker();
     for store in new.out.difference(&held.out) {
         log::info!("{store} is taken out by hand");
         broker.take_out(now, member_id(store));
@@ -179,38 +187,39 @@
 }
 
 /// Takes in what lasts, and keeps it on a thread of its own, as files are read and written there.
-pub fn start(shared: &Arc<Shared>, folder: Option<&Path>, name: &str) -> io::Result<Keeper> {
+pub fn start(core: &Arc<Core>, folder: Option<&Path>, name: &str) -> io::Result<Keeper> {
     let mut lasting = Lasting { file: folder.map(|folder| file_in(folder, name, "json")), seen: None };
+    let held: Arc<Mutex<Intents>> = Arc::default();
     if let Some(intents) = lasting.look() {
         // Stores put back before this process began may still be cold.
-        let now = shared.clock.now();
+        let now = core.clock.now();
         for (store, at) in &intents.back {
-            let started = shared.clock.at(*at).unwrap_or(now);
-            shared.broker().take_out(now, member_id(store));
-            shared.broker().put_back(now, member_id(store), started);
+            let started = core.clock.at(*at).unwrap_or(now);
+            core.broker().take_out(now, member_id(store));
+            core.broker().put_back(now, member_id(store), started);
         }
-        apply(shared, intents);
+        apply(core, &held, intents);
     }
     let (keeper, asked) = mpsc::channel::<Ask>();
-    let shared = shared.clone();
+    let (core, kept) = (core.clone(), held.clone());
     std::thread::Builder::new().name("handover".into()).stack_size(256 * 1024).spawn(move || {
         loop {
             let changed = match asked.recv_timeout(LOOK_EVERY) {
                 Ok(Ask { intent, done }) => {
-                    let before = lock(&shared.intents).clone();
+                    let before = lock(&kept).clone();
                     let amended = lasting.amend(&before, &intent);
                     let told = amended.as_ref().map_or_else(|e| Err(e.kind().into()), |_| Ok(()));
-                    amended.into_iter().for_each(|intents| apply(&shared, intents));
+                    amended.into_iter().for_each(|intents| apply(&core, &kept, intents));
                     let _ = done.send(told);
                     None
                 }
                 Err(std::sync::mpsc::RecvTimeoutError::Timeout) => lasting.look(),
                 Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
             };
-            changed.into_iter().for_each(|intents| apply(&shared, intents));
+            changed.into_iter().for_each(|intents| apply(&core, &kept, intents));
         }
     })?;
-    Ok(Keeper(keeper))
+    Ok(Keeper { asks: keeper, held })
 }
 
 #[cfg(test)]
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,20 +1,17 @@
 //! Clients: HTTP/1.1 in, one request at a time on a connection, and answers out.
 
-use super::gateway::{Client, Final, Shared, Work};
-use super::lock;
+use super::clients::{At, Clients, IDLE, MOMENT, Sitting};
+use super::service::{Final, Service, Work};
 use super::store::{End, Pull, Reply};
 use super::tls::{Secure, Terms};
 use crate::interface::{Effect, Micros, Request, RequestId};
 use may::io::WaitIo;
 use may::net::{TcpListener, TcpStream};
-use sagearch_identity::{Caller, Credentials, Presented, Reason};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use sagearch_identity::{Caller, Credentials, Reason};
 use std::fmt;
-use std::io::{self, Read, Write};
-use std::net::Shutdown;
+use std::io;
 use std::str::FromStr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The largest head, its most fields, and the largest body.
@@ -26,26 +23,7 @@
 const LONGEST_WAIT_MS: f64 = 600_000.0;
 const LARGEST_KB: f64 = 1e6;
 const LAST_GROUP: u64 = 255;
-/// A first request must be whole this long after its connection came, and a later one this long after its
-/// first byte, however its bytes drip in. Those who never get there are owed an end within 3 s.
-const SLOWEST: Duration = Duration::from_millis(2_400);
-/// Usual clients close after 4 s without a request. Others ask once and hold their connection for good.
-const IDLE: Duration = Duration::from_secs(5);
-/// A client that takes no answer for this long is closed.
-const WRITE_STUCK: Duration = Duration::from_secs(5);
-/// What still comes from a client after its last answer is read and dropped: closed with unread input, the
-/// connection would be reset, and that can destroy the answer. Within these bounds.
-const DRAIN: Duration = Duration::from_secs(2);
-const MOST_DRAINED: usize = 80_000_000;
-/// A client that sends at full speed is left for a moment after so many reads: others want the worker too.
-const READS_AT_ONCE: usize = 16;
-const MOMENT: Duration = Duration::from_millis(1);
-/// Usual clients send as soon as they are connected: one that has not after this goes first when the table
-/// is full.
-const SILENT: Duration = Duration::from_millis(100);
 const NO_DESCRIPTORS: Duration = Duration::from_millis(10);
-/// Ids of answered requests that are remembered: a repeat of one is no new request.
-const ANSWERED_KEPT: usize = 4_096;
 /// Advice to a refused client where the module gives none, in microseconds. The field holds whole seconds.
 const BACKOFF: Micros = 1_000_000;
 
@@ -314,6 +292,11 @@
     }
 }
 
+/// Writes an answer.
+fn write(sitting: &Sitting, answer: &Answer, close: bool) -> io::Result<()> {
+    sitting.send([answer.head(close).as_bytes(), &answer.body])
+}
+
 fn refusal(backoff: Option<Micros>) -> Answer {
     let seconds = backoff.unwrap_or(BACKOFF).div_ceil(1_000_000).max(1);
     Answer { extra: format!("Retry-After: {seconds}\r\n"), ..Answer::new(503, Vec::new()) }
@@ -340,307 +323,10 @@
     }
 }
 
-/// How clients are sent away: for how long that has gone on, and after what time the connections that are
-/// idle, and those without a whole request, are closed. Until then each answer closes its connection, and so
-/// no request crosses with a close that need not.
-#[derive(Clone, Copy, Debug)]
-pub struct Leaving {
-    pub since: Duration,
-    pub idle: Duration,
-    pub asking: Duration,
-}
-
-/// What a connection is at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum At {
-    /// Its TLS handshake is under way, for so long at most.
-    Shaking(Duration),
-    /// No request has been whole yet on it, or one has begun.
-    Asking,
-    /// A request is open.
-    Open,
-    Writing,
-    Idle,
-    /// Its last answer is written.
-    Draining,
-}
-
-impl At {
-    fn longest(self) -> Option<Duration> {
-        match self {
-            At::Shaking(within) => Some(within),
-            At::Asking => Some(SLOWEST),
-            At::Open => None,
-            At::Writing => Some(WRITE_STUCK),
-            At::Idle => Some(IDLE),
-            At::Draining => Some(DRAIN),
-        }
-    }
-}
-
-struct Seat {
-    stream: Arc<TcpStream>,
-    secure: Option<Arc<Secure>>,
-    at: At,
-    since: Instant,
-}
-
-/// The clients that are connected. A full table makes room by closing who has been idle longest; only where
-/// all have a request open is a new one refused.
-pub struct Clients {
-    seats: Mutex<BTreeMap<u64, Seat>>,
-    next: AtomicU64,
-    most: usize,
-    /// Places that are not to be had now: during an upgrade the other process of this gateway holds them.
-    taken: AtomicUsize,
-    /// Clients that are told of the full table.
-    lobby: Arc<AtomicUsize>,
-    lobby_most: usize,
-    answered: Mutex<(HashSet<u64>, VecDeque<u64>)>,
-}
-
-/// A client's place in the table, until it is dropped.
-struct Sitting<'a> {
-    clients: &'a Clients,
-    number: u64,
-    stream: Arc<TcpStream>,
-    secure: Option<Arc<Secure>>,
-}
-
-impl Client for Sitting<'_> {
-    fn still_there(&self) -> bool {
-        match &self.secure {
-            Some(secure) => secure.still_there(&self.stream),
-            None => match self.stream.inner().peek(&mut [0]) {
-                Ok(read) => read > 0,
-                Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
-            },
-        }
-    }
-}
-
-impl Drop for Sitting<'_> {
-    fn drop(&mut self) {
-        lock(&self.clients.seats).remove(&self.number);
-    }
-}
-
-impl Sitting<'_> {
-    fn is_at(&self, at: At) {
-        if let Some(seat) = lock(&self.clients.seats).get_mut(&self.number) {
-            (seat.at, seat.since) = (at, Instant::now());
-        }
-    }
-
-    /// Writes an answer. A client that takes none of it for long is closed by [`Clients::sweep`].
-    fn write(&self, answer: &Answer, close: bool) -> io::Result<()> {
-        self.send([answer.head(close).as_bytes(), &answer.body])
-    }
-
-    fn send(&self, parts: [&[u8]; 2]) -> io::Result<()> {
-        self.is_at(At::Writing);
-        if let Some(secure) = &self.secure {
-            return parts.into_iter().try_for_each(|bytes| secure.write(&self.stream, bytes));
-        }
-        for mut bytes in parts {
-            while !bytes.is_empty() {
-                match self.stream.inner().write(bytes) {
-                    Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                    Ok(written) => bytes = &bytes[written..],
-                    Err(e) => self.wait(e)?,
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// 0: the client has closed, or its time is over.
-    fn read(&self, piece: &mut [u8]) -> io::Result<usize> {
-        match &self.secure {
-            Some(secure) => secure.read(&self.stream, piece),
-            None => self.read_raw(piece),
-        }
-    }
-
-    /// The certificate that its client has shown.
-    fn presented(&self) -> Option<&Presented> {
-        self.secure.as_ref().and_then(|secure| secure.presented())
-    }
-
-    fn read_raw(&self, piece: &mut [u8]) -> io::Result<usize> {
-        loop {
-            match self.stream.inner().read(piece) {
-                Ok(read) => return Ok(read),
-                Err(e) => self.wait(e)?,
-            }
-        }
-    }
-
-    fn wait(&self, error: io::Error) -> io::Result<()> {
-        match error.kind() {
-            io::ErrorKind::WouldBlock => {
-                self.stream.wait_io();
-                Ok(())
-            }
-            io::ErrorKind::Interrupted => Ok(()),
-            _ => Err(error),
-        }
-    }
-
-    /// Ends the connection after its last answer, so that the client can read that.
-    fn end(&self, piece: &mut [u8]) -> io::Result<()> {
-        self.is_at(At::Draining);
-        if let Some(secure) = &self.secure {
-            secure.close(&self.stream)?;
-        }
-        self.stream.shutdown(Shutdown::Write)?;
-        let (mut drained, mut reads) = (0, 0);
-        while drained < MOST_DRAINED {
-            // What is dropped need not be deciphered.
-            let read = self.read_raw(piece)?;
-            if read == 0 {
-                break;
-            }
-            (drained, reads) = (drained + read, reads + 1);
-            if reads % READS_AT_ONCE == 0 {
-                may::coroutine::sleep(MOMENT);
-            }
-        }
-        Ok(())
-    }
-}
-
-impl Clients {
-    /// `most` may be connected, and a few more are told that the table is full.
-    pub fn new(most: usize, lobby_most: usize) -> Clients {
-        Clients {
-            seats: Mutex::default(),
-            next: AtomicU64::new(0),
-            most,
-            taken: AtomicUsize::new(0),
-            lobby: Arc::default(),
-            lobby_most,
-            answered: Mutex::default(),
-        }
-    }
-
-    fn sit(&self, stream: Arc<TcpStream>, secure: Option<Arc<Secure>>, at: At) -> Sitting<'_> {
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let seat = Seat { stream: stream.clone(), secure: secure.clone(), at, since: Instant::now() };
-        lock(&self.seats).insert(number, seat);
-        Sitting { clients: self, number, stream, secure }
-    }
-
-    /// How many clients are connected.
-    pub fn seated(&self) -> usize {
-        lock(&self.seats).len()
-    }
-
-    /// Takes places out of the table until it is told otherwise.
-    pub fn take_places(&self, taken: usize) {
-        self.taken.store(taken, Ordering::SeqCst);
-    }
-
-    fn most(&self) -> usize {
-        super::left_of(self.most, self.taken.load(Ordering::SeqCst))
-    }
-
-    /// Room for one more: free already, or made by closing a connection that nobody waits on. Handshakes have a
-    /// bound of their own, and beyond it the oldest of them makes way: begun and left, they take no place from
-    /// clients that have been served.
-    fn room(&self, handshakes: Option<usize>) -> bool {
-        let mut seats = lock(&self.seats);
-        let shaking = |seat: &Seat| matches!(seat.at, At::Shaking(_));
-        let handshakes = handshakes.map(|most| most.min(self.most / 4).max(1));
-        let crowded =
-            handshakes.is_some_and(|most| seats.values().filter(|seat| shaking(seat)).count() >= most);
-        if seats.len() < self.most() && !crowded {
-            return true;
-        }
-        let now = Instant::now();
-        let rank = |seat: &Seat| match seat.at {
-            At::Shaking(_) if crowded => Some(0),
-            _ if crowded => None,
-            At::Draining if now - seat.since > SILENT => Some(0),
-            At::Shaking(_) | At::Asking if now - seat.since > SILENT => Some(1),
-            At::Idle => Some(2),
-            _ => None,
-        };
-        let first = seats.iter().filter_map(|(number, seat)| Some((rank(seat)?, seat.since, *number))).min();
-        // Taken out at once: its coroutine wakes up to find its connection over.
-        let closed = first.and_then(|(.., number)| seats.remove(&number));
-        closed.is_some_and(|seat| seat.stream.shutdown(Shutdown::Both).is_ok())
-    }
-
-    /// Ends what has lasted too long, and connections without a request while the gateway sends its clients
-    /// away.
-    pub fn sweep(&self, leaving: Option<Leaving>) {
-        let now = Instant::now();
-        let away = |seat: &Seat| match (seat.at, leaving) {
-            (At::Idle, Some(leaving)) => leaving.since > leaving.idle,
-            (At::Asking, Some(leaving)) => leaving.since > leaving.asking && now - seat.since > SILENT * 5,
-            _ => false,
-        };
-        for seat in lock(&self.seats).values() {
-            // A read from a handshake that lasts too long must not be taken for a client's end.
-            if matches!(seat.at, At::Shaking(within) if now - seat.since > within) {
-                let _ = seat.stream.shutdown(Shutdown::Both);
-                continue;
-            }
-            if seat.at.longest().is_some_and(|longest| now - seat.since > longest) || away(seat) {
-                // Who has sent part of a request is still told so; all others are done with.
-                let way = if seat.at == At::Asking { Shutdown::Read } else { Shutdown::Both };
-                let _ = seat.stream.shutdown(way);
-            }
-        }
-    }
-
-    /// Closes idle connections whose certificate stands for nobody any more, or will not for long: their clients
-    /// open others with the one that they have by then.
-    pub fn end_identities(&self, guard: &super::identity::Guard) {
-        if !guard.is_on() {
-            return;
-        }
-        let idle = |seat: &&Seat| seat.at == At::Idle;
-        let held: Vec<(Arc<TcpStream>, Arc<Secure>)> = lock(&self.seats)
-            .values()
-            .filter(idle)
-            .filter_map(|seat| Some((seat.stream.clone(), seat.secure.clone()?)))
-            .collect();
-        for (stream, secure) in held {
-            let over = |shown| guard.ends_soon(shown) || !guard.certificate_stands(shown);
-            if secure.presented().is_some_and(over) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-        }
-    }
-
-    /// Whether an id belongs to a request that has been answered. Ids are new with every request.
-    fn was_answered(&self, id: u64) -> bool {
-        lock(&self.answered).0.contains(&id)
-    }
-
-    /// Ids that have been answered.
-    pub fn answered_ids(&self) -> Vec<u64> {
-        lock(&self.answered).1.iter().copied().collect()
-    }
-
-    /// An id has been used.
-    pub fn answered(&self, id: u64) {
-        let (known, order) = &mut *lock(&self.answered);
-        if known.insert(id) {
-            order.push_back(id);
-        }
-        if order.len() > ANSWERED_KEPT {
-            order.pop_front().map(|old| known.remove(&old));
-        }
-    }
-}
-
 /// Accepts clients, until another process takes over what comes. A full table refuses, and never dies.
-pub fn listen(shared: &Arc<Shared>, listener: &TcpListener, clients: &Arc<Clients>) {
+pub fn listen(service: &Arc<dyn Service>, listener: &TcpListener, clients: &Arc<Clients>) {
     let mut told: Option<Instant> = None;
-    while !shared.handed_over() {
+    while !service.handed_over() {
         // Another process may accept at the same socket: one that it took must not leave this one waiting in
         // `accept`, to take a later one when it should no longer.
         let stream = match listener.inner().accept() {
@@ -656,8 +342,8 @@
                 continue;
             }
         };
-        let (shared, table) = (shared.clone(), clients.clone());
-        let terms = shared.guard.tls_of_clients();
+        let (service, table) = (service.clone(), clients.clone());
+        let terms = service.guard().tls_of_clients();
         if clients.room(terms.as_ref().map(|terms| terms.handshakes)) {
             let ended = |served: io::Result<()>| {
                 if let Err(e) = served {
@@ -665,12 +351,12 @@
                 }
             };
             match terms {
-                None => super::spawn(move || ended(client(&shared, &table.sit(stream, None, At::Asking)))),
+                None => super::spawn(move || ended(client(&service, &table.sit(stream, None, At::Asking)))),
                 Some(terms) => {
-                    super::spawn_tls(move || ended(secure_client(&shared, &table, stream, &terms)));
+                    super::spawn_tls(move || ended(secure_client(&service, &table, stream, &terms)));
                 }
             }
-            if lock(&clients.seats).len() + 1 >= clients.most() {
+            if clients.seated() + 1 >= clients.most() {
                 // The one that made way must get to give its descriptor back.
                 may::coroutine::sleep(MOMENT);
             }
@@ -688,14 +374,14 @@
         super::spawn(move || {
             let _place = place;
             let sitting = table.sit(stream, None, At::Writing);
-            let _ = sitting.write(&refusal(None), true).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
+            let _ = write(&sitting, &refusal(None), true).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
         });
     }
 }
 
 /// Takes a client through its handshake, and serves it.
 fn secure_client(
-    shared: &Arc<Shared>,
+    service: &Arc<dyn Service>,
     table: &Clients,
     stream: Arc<TcpStream>,
     terms: &Terms,
@@ -711,13 +397,13 @@
         Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => "left",
         Err(_) => "failed",
     };
-    shared.guard.metrics.handshake(outcome, began.elapsed());
+    service.guard().metrics.handshake(outcome, began.elapsed());
     shaken?;
     sitting.is_at(At::Asking);
-    client(shared, &sitting)
+    client(service, &sitting)
 }
 
-fn client(shared: &Arc<Shared>, sitting: &Sitting) -> io::Result<()> {
+fn client(service: &Arc<dyn Service>, sitting: &Sitting) -> io::Result<()> {
     sitting.stream.set_nodelay(true)?;
     let (mut buffer, mut piece, mut continued) = (Vec::new(), [0; 4 * 1024], false);
     loop {
@@ -730,7 +416,7 @@
                 let read = sitting.read(&mut piece)?;
                 if read == 0 {
                     if !buffer.is_empty() {
-                        sitting.write(&Answer::new(408, Vec::new()), true)?;
+                        write(sitting, &Answer::new(408, Vec::new()), true)?;
                         sitting.end(&mut piece)?;
                     }
                     return Ok(());
@@ -743,21 +429,21 @@
             Ok(Parsed::Whole(taken)) => {
                 buffer.drain(..taken.used);
                 continued = false;
-                let _open = shared.taken();
+                let _open = service.taken();
                 sitting.is_at(At::Open);
-                let Some(answer) = respond(shared, sitting, taken.asked) else { return Ok(()) };
+                let Some(answer) = respond(service, sitting, taken.asked) else { return Ok(()) };
                 // Asked only now: the gateway may have begun to send its clients away meanwhile, and a
                 // certificate may have come near its end.
-                let ends = || sitting.presented().is_some_and(|shown| shared.guard.ends_soon(shown));
-                let close = !taken.keep_alive || shared.leaving().is_some() || ends();
-                sitting.write(&answer, close)?;
+                let ends = || sitting.presented().is_some_and(|shown| service.guard().ends_soon(shown));
+                let close = !taken.keep_alive || service.leaving().is_some() || ends();
+                write(sitting, &answer, close)?;
                 if close {
                     return sitting.end(&mut piece);
                 }
                 sitting.is_at(if buffer.is_empty() { At::Idle } else { At::Asking });
             }
             Err(bad) => {
-                sitting.write(&bad.answer(), true)?;
+                write(sitting, &bad.answer(), true)?;
                 return sitting.end(&mut piece);
             }
         }
@@ -765,10 +451,10 @@
 }
 
 /// The answer to a request. `None`: the client has left.
-fn respond(shared: &Arc<Shared>, sitting: &Sitting, asked: Asked) -> Option<Answer> {
+fn respond(service: &Arc<dyn Service>, sitting: &Sitting, asked: Asked) -> Option<Answer> {
     let object = match asked {
         // The front asks here whether it may send clients on.
-        Asked::Live if shared.broker().drained().is_some() => {
+        Asked::Live if service.drained() => {
             return Some(Answer::new(503, b"drained\n".into()));
         }
         Asked::Live => return Some(Answer::new(200, b"live\n".into())),
@@ -782,11 +468,12 @@
         None if unreadable() => return Some(turned_away(Reason::CertificateUntrusted)),
         bearer => Credentials { bearer, certificate: sitting.presented() },
     };
-    let caller = match shared.guard.admit(shown, &object.pull.class, method, &object.pull.object) {
+    let (snapshot, admitted) = service.guard().admit(shown, &object.pull.class, method, &object.pull.object);
+    let caller = match admitted {
         Ok(caller) => caller,
         Err(reason) => return Some(turned_away(reason)),
     };
-    let deployment = shared.deployment();
+    let deployment = &snapshot.deployment;
     let class = deployment.names.classes.get(&object.pull.class).copied();
     let Some(known) = class.and_then(|class| deployment.settings.classes.get(class)) else {
         return Some(Answer::new(404, b"no such class\n".into()));
@@ -798,7 +485,7 @@
     if matches!(known.effect, Effect::Keyed { .. }) && object.pull.token.is_none() {
         return Some(Answer::new(400, b"Req-Token is missing\n".into()));
     }
-    shared.used(object.id);
+    service.used(object.id);
     // An id that is open is the broker's to turn away; here it may just have been answered.
     if sitting.clients.was_answered(object.id) {
         return Some(Answer::new(409, b"Req-Id has been used\n".into()));
@@ -807,16 +494,16 @@
         id: RequestId(object.id),
         class,
         // What comes late to a process that is about to be ended gets what time is left.
-        budget: object.wait.min(shared.time_left()),
+        budget: object.wait.min(service.time_left()),
         size_kb: object.size_kb,
         object: object.pull.object.clone(),
         part: object.part,
         purge_group: object.group,
         by_name: false,
     };
-    let end = shared.carry(request, &caller, &Work::Pull(object.pull), Some(sitting));
-    if shared.guard.is_on() {
-        told(shared, &caller, object.id, &end);
+    let end = service.carry(request, &caller, &Work::Pull(object.pull), Some(sitting));
+    if service.guard().is_on() {
+        told(&**service, &caller, object.id, &end);
     }
     if !matches!(end, Final::Gone) {
         sitting.clients.answered(object.id);
@@ -830,9 +517,9 @@
 }
 
 /// Counts and logs for whom a request was carried out, and how it ended.
-fn told(shared: &Shared, caller: &Caller, id: u64, end: &Final) {
+fn told(service: &dyn Service, caller: &Caller, id: u64, end: &Final) {
     let end = end.label();
-    shared.guard.metrics.ended(caller, end);
+    service.guard().metrics.ended(caller, end);
     tracing::debug!(
         request = %format_args!("{id:016x}"),
         tenant = %caller.tenant,
--- a/src/net/identity.rs
+++ b/src/net/identity.rs
@@ -1,19 +1,26 @@
-//! Feeds identity: the operators' settings, files that change, issuers' keys over HTTP, and the time. It decides
-//! nothing itself; who may do what is [`sagearch_identity`]'s to say.
+//! The version in force, and identity's food: the operators' settings, files that change, issuers' keys over HTTP, and
+//! the time. It decides nothing itself; who may do what is [`sagearch_identity`]'s to say.
+//!
+//! A version comes in two steps. [`Guard::stage`] reads and checks all that can fail; [`Guard::commit`] swaps the
+//! snapshot and identity's policy under one lock, and can't fail. A request takes both under the same lock.
 //!
 //! Files are looked at, and issuers asked, on threads of their own; requests only take a lock for a moment. Where
 //! the operators' file states nothing of this, no thread is started and [`Guard::admit`] is one look at a flag.
 
 use super::clock::Clock;
 use super::lock;
+use super::snapshot::{Snapshot, Who};
 use super::tls::{Endpoints, Terms, TrustParts, bytes_of};
 use crate::metrics::Metrics;
 use crate::operators::Operators;
+use crate::operators::fronts::Routes;
 use crate::operators::identity::Identity;
 use crate::operators::tls::Tls;
+use crate::settings::Deployment;
 use rustls::pki_types::UnixTime;
 use rustls::time_provider::TimeProvider;
-use sagearch_identity::authority::{Ask, OperatorCaller, Report};
+use sagearch_identity::authority::{Ask, OperatorCaller, Policy, Report};
+use sagearch_identity::certificate::Trust;
 use sagearch_identity::jwks::{KeySet, LARGEST};
 use sagearch_identity::settings::Source;
 use sagearch_identity::{Authority, Caller, Credentials, Handover, Now, Presented, Reason};
@@ -23,7 +30,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// How often files are looked at and issuers thought of, and ends that come with time alone.
@@ -36,25 +43,46 @@
 /// A refusal of a kind is logged once in this time; the counters have them all.
 const LOGGED_EVERY: Duration = Duration::from_secs(1);
 
-enum State {
-    Off,
-    /// Nothing can be told, and so nobody is served.
-    Sealed,
-    On(Box<Authority>),
+struct State {
+    snapshot: Arc<Snapshot>,
+    /// Who calls; there where the snapshot says that callers are told apart.
+    authority: Option<Box<Authority>>,
+}
+
+impl State {
+    /// What decides who calls; `None`: callers are not told apart.
+    fn authority(&mut self) -> Result<Option<&mut Authority>, Reason> {
+        match (self.snapshot.who, &mut self.authority) {
+            (Who::Off, _) => Ok(None),
+            (Who::On, Some(authority)) => Ok(Some(authority)),
+            _ => Err(Reason::Sealed),
+        }
+    }
 }
 
 /// What is stated, whether it is in force or not yet.
-#[derive(Clone, Default, PartialEq)]
-struct Stated {
-    identity: Option<Identity>,
-    tls: Option<Tls>,
+#[derive(Clone, PartialEq)]
+pub struct Stated {
+    pub version: Arc<str>,
+    pub identity: Option<Identity>,
+    pub tls: Option<Tls>,
+    /// `None`: those in force stay.
+    pub routes: Option<Routes>,
 }
 
-/// All that a version needs from files, read and found in order.
-struct Loaded {
+struct NewIdentity {
+    policy: Policy,
+    trust: Option<Trust>,
+    /// Sets of keys by issuer, of those whose keys are files.
     keys: Vec<(String, KeySet)>,
-    parts: TrustParts,
-    endpoints: Endpoints,
+}
+
+/// A version that has been read and found in order, and is not in force yet. Dropped, it leaves nothing behind.
+pub struct Staged<'a> {
+    pub snapshot: Snapshot,
+    identity: Option<NewIdentity>,
+    stated: Stated,
+    _one: MutexGuard<'a, ()>,
 }
 
 pub struct Guard {
@@ -63,7 +91,6 @@
     on: AtomicBool,
     clock: Clock,
     seed: u64,
-    endpoints: Mutex<Arc<Endpoints>>,
     stated: Mutex<Stated>,
     /// One version at a time is brought into force.
     applying: Mutex<()>,
@@ -87,30 +114,38 @@
     fn current_time(&self) -> Option<UnixTime> {
         let guard = self.0.upgrade()?;
         let now = guard.now();
-        let judged = match &mut *lock(&guard.state) {
-            State::On(authority) => authority.time(now),
-            _ => now.unix,
+        let judged = match &mut lock(&guard.state).authority {
+            Some(authority) => authority.time(now),
+            None => now.unix,
         };
         Some(UnixTime::since_unix_epoch(Duration::from_millis(judged)))
     }
 }
 
 impl Stated {
-    fn of(operators: &Operators) -> Stated {
-        Stated { identity: operators.identity.clone(), tls: operators.tls.clone() }
+    /// What a file on this machine states.
+    pub fn of(operators: &Operators) -> Stated {
+        Stated {
+            version: "file".into(),
+            identity: operators.identity.clone(),
+            tls: operators.tls.clone(),
+            routes: operators.dns.as_ref().map(|dns| dns.routes.clone()),
+        }
     }
 
-    fn load(&self, time: &Arc<dyn TimeProvider>) -> Result<Loaded, String> {
-        let mut keys = Vec::new();
-        for (issuer, path) in self.key_files() {
-            keys.push((issuer, key_set(&path)?));
-        }
-        let trust = self.identity.as_ref().map(|identity| &identity.trust);
-        let parts = trust.map(TrustParts::read).transpose()?.unwrap_or_default();
-        // Whether it can be used at all.
-        parts.trust(true)?;
-        let endpoints = self.tls.as_ref().map(|tls| Endpoints::read(tls, &parts, time)).transpose()?;
-        Ok(Loaded { keys, parts, endpoints: endpoints.unwrap_or_default() })
+    fn trust_parts(&self) -> Result<TrustParts, String> {
+        let files = self.identity.as_ref().map(|identity| &identity.trust);
+        Ok(files.map(TrustParts::read).transpose()?.unwrap_or_default())
+    }
+
+    fn endpoints(&self, parts: &TrustParts, time: &Arc<dyn TimeProvider>) -> Result<Endpoints, String> {
+        let read = self.tls.as_ref().map(|tls| Endpoints::read(tls, parts, time)).transpose()?;
+        Ok(read.unwrap_or_default())
+    }
+
+    /// Whether there is anything for the thread that watches and asks.
+    fn is_fed(&self) -> bool {
+        self.identity.is_some() || self.tls.is_some()
     }
 
     fn key_files(&self) -> Vec<(String, PathBuf)> {
@@ -149,14 +184,21 @@
 }
 
 impl Guard {
-    pub fn new(clock: Clock, seed: u64) -> Arc<Guard> {
+    pub fn new(clock: Clock, seed: u64, deployment: Deployment) -> Arc<Guard> {
+        let version: Arc<str> = "none".into();
+        let snapshot = Arc::new(Snapshot {
+            version: version.clone(),
+            deployment: Arc::new(deployment),
+            routes: Arc::default(),
+            endpoints: Arc::default(),
+            who: Who::Off,
+        });
         Arc::new(Guard {
-            state: Mutex::new(State::Off),
+            state: Mutex::new(State { snapshot, authority: None }),
             on: AtomicBool::new(false),
             clock,
             seed,
-            endpoints: Mutex::default(),
-            stated: Mutex::default(),
+            stated: Mutex::new(Stated { version, identity: None, tls: None, routes: None }),
             applying: Mutex::default(),
             feeding: AtomicBool::new(false),
             handed: Mutex::default(),
@@ -180,77 +222,111 @@
             Ok(operators) => Stated::of(operators),
             Err(cause) => return self.seal(cause),
         };
-        if stated == Stated::default() {
-            return;
-        }
-        if let Err(cause) = self.apply(stated.clone()) {
-            self.seal(&cause);
-            // Its files may come, or come in order, later.
-            *lock(&self.stated) = stated;
+        match self.stage(stated.clone(), None) {
+            Ok(staged) => self.commit(staged),
+            Err(cause) => {
+                self.seal(&cause);
+                // Its files may come, or come in order, later.
+                *lock(&self.stated) = stated;
+                self.feed();
+            }
         }
-        self.feed();
     }
 
     fn seal(&self, cause: &str) {
         tracing::error!(cause, "the operators' file can't be used: nobody is served");
-        *lock(&self.state) = State::Sealed;
+        let state = &mut *lock(&self.state);
+        state.snapshot = Arc::new(Snapshot { who: Who::Sealed, ..(*state.snapshot).clone() });
         self.on.store(true, Ordering::SeqCst);
     }
 
-    /// Brings a new file into force, whole or not at all.
-    pub fn renew(self: &Arc<Guard>, operators: &Operators) -> Result<(), String> {
-        let stated = Stated::of(operators);
-        if stated == Stated::default() {
-            let _one = lock(&self.applying);
-            *lock(&self.stated) = stated;
-            *lock(&self.endpoints) = Arc::default();
-            self.on.store(false, Ordering::SeqCst);
-            *lock(&self.state) = State::Off;
-            return Ok(());
+    /// Reads and checks all that a version needs. Nothing is in force by it, and no other version can come between
+    /// this and [`Guard::commit`].
+    pub fn stage(
+        self: &Arc<Guard>,
+        stated: Stated,
+        deployment: Option<Deployment>,
+    ) -> Result<Staged<'_>, String> {
+        let one = lock(&self.applying);
+        let parts = stated.trust_parts()?;
+        let trust = parts.trust(true)?;
+        let endpoints = Arc::new(stated.endpoints(&parts, &self.time())?);
+        let mut keys = Vec::new();
+        for (issuer, path) in stated.key_files() {
+            keys.push((issuer, key_set(&path)?));
         }
-        self.apply(stated)?;
-        self.feed();
-        Ok(())
+        let settings = stated.identity.as_ref().map(|identity| identity.settings.clone());
+        let policy = settings.map(Policy::new).transpose()?;
+        let before = {
+            let state = lock(&self.state);
+            if let Some(authority) = &state.authority {
+                for (issuer, set) in &keys {
+                    authority.check_keys(issuer, set).map_err(|e| format!("issuer {issuer}: {e}"))?;
+                }
+            }
+            state.snapshot.clone()
+        };
+        let snapshot = Snapshot {
+            version: stated.version.clone(),
+            deployment: deployment.map_or_else(|| before.deployment.clone(), Arc::new),
+            routes: stated.routes.clone().map_or_else(|| before.routes.clone(), Arc::new),
+            endpoints,
+            who: if policy.is_some() { Who::On } else { Who::Off },
+        };
+        let identity = policy.map(|policy| NewIdentity { policy, trust, keys });
+        Ok(Staged { snapshot, identity, stated, _one: one })
     }
 
-    fn apply(self: &Arc<Guard>, stated: Stated) -> Result<(), String> {
-        let _one = lock(&self.applying);
-        // All that can fail comes first; from then on nothing does.
-        let loaded = stated.load(&self.time())?;
-        let trust = loaded.parts.trust(true)?;
-        let settings = stated.identity.as_ref().map(|identity| identity.settings.clone());
-        let now = self.now();
+    /// Brings a version into force, as a whole.
+    pub fn commit(self: &Arc<Guard>, staged: Staged<'_>) {
+        let Staged { snapshot, identity, stated, _one } = staged;
+        let (now, mut before) = (self.now(), None);
         {
-            let mut state = lock(&self.state);
-            match (&mut *state, settings) {
-                (_, None) => *state = State::Off,
-                (State::On(authority), Some(settings)) => authority.renew(settings, now)?,
-                (_, Some(settings)) => {
-                    let mut authority = Box::new(Authority::new(settings, self.seed, now)?);
-                    if let Some(handed) = lock(&self.handed).take() {
+            let state = &mut *lock(&self.state);
+            match identity {
+                None => state.authority = None,
+                Some(NewIdentity { policy, trust, keys }) => {
+                    let fresh = || Box::new(Authority::new(self.seed));
+                    let is_new = state.authority.is_none();
+                    let authority = state.authority.get_or_insert_with(fresh);
+                    before = Some(authority.adopt(policy, now));
+                    if is_new && let Some(handed) = lock(&self.handed).take() {
                         authority.take_over(handed, now);
                     }
-                    *state = State::On(authority);
-                }
-            }
-            if let State::On(authority) = &mut *state {
-                authority.set_trust(trust);
-                for (issuer, set) in loaded.keys {
-                    if let Err(cause) = authority.keys(&issuer, Ok(set), now) {
-                        tracing::error!(issuer, cause, "keys turned down; the last good ones hold");
+                    authority.set_trust(trust);
+                    for (issuer, set) in keys {
+                        if let Err(cause) = authority.keys(&issuer, Ok(set), now) {
+                            tracing::error!(issuer, cause, "keys turned down; the last good ones hold");
+                        }
                     }
                 }
             }
-            self.on.store(!matches!(*state, State::Off), Ordering::SeqCst);
+            self.on.store(snapshot.who != Who::Off, Ordering::SeqCst);
+            state.snapshot = Arc::new(snapshot);
         }
-        *lock(&self.endpoints) = Arc::new(loaded.endpoints);
+        // Thousands of tenants take a while to be forgotten: not under the lock.
+        drop(before);
+        let fed = stated.is_fed();
         *lock(&self.stated) = stated;
-        Ok(())
+        if fed {
+            self.feed();
+        }
     }
 
-    /// Why nobody is served.
+    /// The group has agreed on routes: they take the place of the file's.
+    pub fn agreed(&self, routes: Routes) {
+        let _one = lock(&self.applying);
+        let state = &mut *lock(&self.state);
+        state.snapshot = Arc::new(Snapshot { routes: Arc::new(routes), ..(*state.snapshot).clone() });
+    }
+
+    pub fn snapshot(&self) -> Arc<Snapshot> {
+        lock(&self.state).snapshot.clone()
+    }
+
+    /// Whether nobody is served.
     pub fn sealed(&self) -> bool {
-        self.on.load(Ordering::Relaxed) && matches!(*lock(&self.state), State::Sealed)
+        self.is_on() && lock(&self.state).snapshot.who == Who::Sealed
     }
 
     /// Whether callers are told apart at all.
@@ -259,32 +335,36 @@
     }
 
     pub fn tls_of_clients(&self) -> Option<Arc<Terms>> {
-        lock(&self.endpoints).clients.clone()
+        lock(&self.state).snapshot.endpoints.clients.clone()
     }
 
     pub fn tls_of_admin(&self) -> Option<Arc<Terms>> {
-        lock(&self.endpoints).admin.clone()
+        lock(&self.state).snapshot.endpoints.admin.clone()
     }
 
-    /// Who a request is carried out for, if that is somebody who may ask for this.
+    /// Who a request is carried out for, if that is somebody who may ask for this; and the version that decided so.
     pub fn admit(
         &self,
         shown: Credentials,
         class: &str,
         method: &str,
         object: &str,
-    ) -> Result<Arc<Caller>, Reason> {
+    ) -> (Arc<Snapshot>, Result<Arc<Caller>, Reason>) {
         if !self.is_on() {
-            return Ok(Caller::anonymous());
+            return (self.snapshot(), Ok(Caller::anonymous()));
         }
         let began = Instant::now();
         let now = self.now();
-        let recognised = match &mut *lock(&self.state) {
-            State::Off => Ok(Caller::anonymous()),
-            State::Sealed => Err(Reason::Sealed),
-            State::On(authority) => authority.admit(shown, now),
+        let (snapshot, recognised) = {
+            let state = &mut *lock(&self.state);
+            let recognised = match state.authority() {
+                Ok(None) => Ok(Caller::anonymous()),
+                Ok(Some(authority)) => authority.admit(shown, now),
+                Err(reason) => Err(reason),
+            };
+            (state.snapshot.clone(), recognised)
         };
-        self.decide(recognised, began, class, method, object)
+        (snapshot, self.decide(recognised, began, class, method, object))
     }
 
     /// The same for a resolver's look-up.
@@ -293,21 +373,20 @@
             return Ok(Caller::anonymous());
         }
         let began = Instant::now();
-        let recognised = match &*lock(&self.state) {
-            State::Off => Ok(Caller::anonymous()),
-            State::Sealed => Err(Reason::Sealed),
-            State::On(authority) => authority.network(from),
-        };
+        let recognised = self.network(from);
         self.decide(recognised, began, class, "LOOKUP", object)
     }
 
+    fn network(&self, from: IpAddr) -> Result<Arc<Caller>, Reason> {
+        match lock(&self.state).authority()? {
+            Some(authority) => authority.network(from),
+            None => Ok(Caller::anonymous()),
+        }
+    }
+
     /// Whether a resolver's network is anybody's.
     pub fn knows_network(&self, from: IpAddr) -> bool {
-        match &*lock(&self.state) {
-            State::Off => true,
-            State::Sealed => false,
-            State::On(authority) => authority.network(from).is_ok(),
-        }
+        self.network(from).is_ok()
     }
 
     fn decide(
@@ -350,10 +429,10 @@
     /// Whether a connection's certificate is good for anything from now on.
     pub fn certificate_stands(&self, presented: &Presented) -> bool {
         let now = self.now();
-        match &mut *lock(&self.state) {
-            State::Off => true,
-            State::Sealed => false,
-            State::On(authority) => authority.certificate_stands(presented, now),
+        match lock(&self.state).authority() {
+            Ok(Some(authority)) => authority.certificate_stands(presented, now),
+            Ok(None) => true,
+            Err(_) => false,
         }
     }
 
@@ -366,21 +445,16 @@
     /// The operator who calls; `None`: their address asks nobody who they are.
     pub fn operator(&self, shown: Credentials) -> Result<Option<OperatorCaller>, Reason> {
         let now = self.now();
-        match &mut *lock(&self.state) {
-            State::Off => Ok(None),
-            State::Sealed => Err(Reason::Sealed),
-            State::On(authority) if !authority.has_operators() => Ok(None),
-            State::On(authority) => authority.operator(shown, now).map(Some),
+        match lock(&self.state).authority()? {
+            Some(authority) if authority.has_operators() => authority.operator(shown, now).map(Some),
+            _ => Ok(None),
         }
     }
 
     /// Keys and figures; `None`: identity is off.
     pub fn report(&self) -> Option<Report> {
         let now = self.now();
-        match &mut *lock(&self.state) {
-            State::On(authority) => Some(authority.report(now)),
-            _ => None,
-        }
+        lock(&self.state).authority.as_mut().map(|authority| authority.report(now))
     }
 
     pub fn metrics_text(&self) -> String {
@@ -393,17 +467,14 @@
     /// For the process that takes over.
     pub fn hand_over(&self) -> Option<Handover> {
         let now = self.now();
-        match &mut *lock(&self.state) {
-            State::On(authority) => Some(authority.hand_over(now)),
-            _ => None,
-        }
+        lock(&self.state).authority.as_mut().map(|authority| authority.hand_over(now))
     }
 
     pub fn take_over(&self, told: Handover) {
         let now = self.now();
-        match &mut *lock(&self.state) {
-            State::On(authority) => authority.take_over(told, now),
-            _ => *lock(&self.handed) = Some(told),
+        match &mut lock(&self.state).authority {
+            Some(authority) => authority.take_over(told, now),
+            None => *lock(&self.handed) = Some(told),
         }
     }
 
@@ -440,18 +511,16 @@
 
     fn try_again(self: &Arc<Guard>) {
         let stated = lock(&self.stated).clone();
-        if stated != Stated::default() && self.apply(stated).is_ok() {
+        if let Ok(staged) = self.stage(stated, None) {
+            self.commit(staged);
             tracing::info!("the operators' file can be used now: clients are served");
         }
     }
 
     fn ask_issuers(self: &Arc<Guard>) {
         let now = self.now();
-        let due = match &mut *lock(&self.state) {
-            State::On(authority) => authority.due(now),
-            _ => return,
-        };
-        for ask in due {
+        let due = lock(&self.state).authority.as_mut().map(|authority| authority.due(now));
+        for ask in due.into_iter().flatten() {
             let (guard, issuer) = (self.clone(), ask.issuer.clone());
             let thread = std::thread::Builder::new().name("issuer".into()).stack_size(1024 * 1024);
             // At most one an issuer, as the core says when.
@@ -464,10 +533,8 @@
 
     fn take_keys(&self, issuer: &str, set: Result<KeySet, String>) {
         let now = self.now();
-        let taken = match &mut *lock(&self.state) {
-            State::On(authority) => authority.keys(issuer, set, now),
-            _ => return,
-        };
+        let taken = lock(&self.state).authority.as_mut().map(|authority| authority.keys(issuer, set, now));
+        let Some(taken) = taken else { return };
         self.metrics.reloaded(taken.is_ok());
         match taken {
             Ok(()) => tracing::debug!(issuer, "keys taken in"),
@@ -480,20 +547,17 @@
         let _one = lock(&self.applying);
         let stated = lock(&self.stated).clone();
         let read = || {
-            let trust = stated.identity.as_ref().map(|identity| &identity.trust);
-            let parts = trust.map(TrustParts::read).transpose()?.unwrap_or_default();
-            let tls =
-                stated.tls.as_ref().map(|tls| Endpoints::read(tls, &parts, &self.time())).transpose()?;
-            Ok::<_, String>((parts.trust(true)?, tls.unwrap_or_default()))
+            let parts = stated.trust_parts()?;
+            Ok::<_, String>((parts.trust(true)?, stated.endpoints(&parts, &self.time())?))
         };
         let read = read();
         self.metrics.reloaded(read.is_ok());
         match read {
             Ok((trust, endpoints)) => {
-                if let State::On(authority) = &mut *lock(&self.state) {
-                    authority.set_trust(trust);
-                }
-                *lock(&self.endpoints) = Arc::new(endpoints);
+                let state = &mut *lock(&self.state);
+                state.authority.iter_mut().for_each(|authority| authority.set_trust(trust.clone()));
+                let endpoints = Arc::new(endpoints);
+                state.snapshot = Arc::new(Snapshot { endpoints, ..(*state.snapshot).clone() });
                 tracing::info!("certificates, roots and revocation lists read again");
             }
             // Often one of two files that are being replaced: the other one's change is seen as well.
@@ -505,7 +569,7 @@
 /// Files, as they were when last looked at.
 #[derive(Default)]
 struct Watched {
-    stated: Stated,
+    stated: Option<Stated>,
     keys: BTreeMap<(String, PathBuf), Mark>,
     tls: Vec<(PathBuf, Mark)>,
 }
@@ -516,11 +580,11 @@
             return;
         }
         let stated = lock(&guard.stated).clone();
-        if stated != self.stated {
+        if Some(&stated) != self.stated.as_ref() {
             // A new version has read them all, and one may have changed since: each is read once more.
             self.keys = stated.key_files().into_iter().map(|key| (key, None)).collect();
             self.tls = stated.tls_files().into_iter().map(|path| (path, None)).collect();
-            self.stated = stated;
+            self.stated = Some(stated);
         }
         for ((issuer, path), seen) in &mut self.keys {
             let now = mark(path);
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -4,7 +4,7 @@
 //! The new process calls the old one and is told what that has learned and which ids it has open or answered.
 //! From then on both tell each other their new ids and what they hold, until one of them is gone.
 
-use super::gateway::{Held, Shared};
+use super::core::{Core, Held};
 use super::handover::file_in;
 use super::lock;
 use crate::Learned;
@@ -108,39 +108,39 @@
     }
 }
 
-fn hand_over(shared: &Shared) -> Handover {
-    let classes = shared.deployment().names.classes.clone();
-    let (learned, open) = shared.broker().memory();
-    let mut used = shared.clients.answered_ids();
+fn hand_over(core: &Core) -> Handover {
+    let classes = core.deployment().names.classes.clone();
+    let (learned, open) = core.broker().memory();
+    let mut used = core.clients.answered_ids();
     used.extend(open.iter().map(|id| id.0));
-    Handover { classes, learned, used, identity: shared.guard.hand_over() }
+    Handover { classes, learned, used, identity: core.guard.hand_over() }
 }
 
-fn take_over(shared: &Shared, told: Handover) {
+fn take_over(core: &Core, told: Handover) {
     let Handover { classes, mut learned, used, identity } = told;
-    identity.into_iter().for_each(|told| shared.guard.take_over(told));
+    identity.into_iter().for_each(|told| core.guard.take_over(told));
     let before = std::mem::take(&mut learned.mean_work);
-    for (name, at) in &shared.deployment().names.classes {
+    for (name, at) in &core.deployment().names.classes {
         learned.mean_work.resize(learned.mean_work.len().max(at + 1), (0.0, 0.0));
         let mean = classes.get(name).and_then(|at| before.get(*at));
         learned.mean_work[*at] = mean.copied().unwrap_or_default();
     }
     log::info!("taking over from the process before: {} ids", used.len());
-    used.into_iter().for_each(|id| shared.clients.answered(id));
-    shared.broker().take_over(learned);
+    used.into_iter().for_each(|id| core.clients.answered(id));
+    core.broker().take_over(learned);
 }
 
 /// Tells and hears until the other is gone.
-fn beside(shared: &Shared, line: &mut Line) -> io::Result<()> {
+fn beside(core: &Core, line: &mut Line) -> io::Result<()> {
     let mut silent = Duration::ZERO;
     while silent < SILENT {
-        let used = std::mem::take(&mut *lock(&shared.fresh));
-        line.tell(&Status { held: shared.held(), used })?;
+        let used = std::mem::take(&mut *lock(&core.fresh));
+        line.tell(&Status { held: core.held(), used })?;
         silent += TELL_EVERY;
         if let Some(status) = line.hear::<Status>(TELL_EVERY)? {
             silent = Duration::ZERO;
-            status.used.iter().for_each(|id| shared.clients.answered(*id));
-            shared.leave_to(status.held);
+            status.used.iter().for_each(|id| core.clients.answered(*id));
+            core.leave_to(status.held);
             // The other tells as often: its word has come, and the next is due when ours is.
             std::thread::sleep(TELL_EVERY);
         }
@@ -148,44 +148,44 @@
     Ok(())
 }
 
-fn share(shared: &Shared, line: &mut Line) {
+fn share(core: &Core, line: &mut Line) {
     log::info!("two processes are this gateway");
-    shared.broker().share(2);
-    shared.beside.store(true, Ordering::SeqCst);
-    if let Err(e) = beside(shared, line) {
+    core.broker().share(2);
+    core.beside.store(true, Ordering::SeqCst);
+    if let Err(e) = beside(core, line) {
         log::debug!("link: {e}");
     }
-    shared.beside.store(false, Ordering::SeqCst);
-    lock(&shared.fresh).clear();
-    shared.clients.take_places(0);
-    shared.stores.take_places(0);
-    shared.broker().share(1);
+    core.beside.store(false, Ordering::SeqCst);
+    lock(&core.fresh).clear();
+    core.clients.take_places(0);
+    core.stores.take_places(0);
+    core.broker().share(1);
     log::info!("one process is this gateway");
 }
 
 /// Takes over from a process that is there already, and waits for the one that will come after. Nothing that
 /// goes wrong here stops a start: without the link the gateway serves all the same.
-pub fn start(shared: &Arc<Shared>, folder: &Path, gateway: &str) -> io::Result<()> {
+pub fn start(core: &Arc<Core>, folder: &Path, gateway: &str) -> io::Result<()> {
     let spot = Spot::new(folder, gateway)?;
     let old = UnixStream::connect(spot.path()).and_then(|stream| {
         let mut line = Line::new(stream)?;
         let told = line.hear(TOLD_WITHIN)?.ok_or(io::ErrorKind::TimedOut)?;
-        take_over(shared, told);
+        take_over(core, told);
         Ok(line)
     });
     let old = old.inspect_err(|e| log::debug!("no process before: {e}")).ok();
     let listener = spot.listen()?;
-    let shared = shared.clone();
+    let core = core.clone();
     std::thread::Builder::new().name("link".into()).stack_size(256 * 1024).spawn(move || {
-        old.into_iter().for_each(|mut line| share(&shared, &mut line));
+        old.into_iter().for_each(|mut line| share(&core, &mut line));
         for stream in listener.incoming() {
             let line = stream.and_then(|stream| {
                 let mut line = Line::new(stream)?;
-                line.tell(&hand_over(&shared))?;
+                line.tell(&hand_over(&core))?;
                 Ok(line)
             });
             match line {
-                Ok(mut line) => share(&shared, &mut line),
+                Ok(mut line) => share(&core, &mut line),
                 Err(e) => log::warn!("link: {e}"),
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,14 +3,18 @@
 
 pub mod admin;
 pub mod bus;
+pub mod clients;
 pub mod clock;
+pub mod core;
 pub mod dns;
 pub mod gateway;
 pub mod handover;
 pub mod http;
 pub mod identity;
 pub mod link;
+pub mod service;
 pub mod signal;
+pub mod snapshot;
 pub mod store;
 pub mod tls;
 
@@ -50,7 +54,7 @@
 }
 
 /// A place in a bounded table, free again when it is dropped, also by a panic.
-struct Place(Arc<AtomicUsize>);
+pub struct Place(Arc<AtomicUsize>);
 
 impl Place {
     /// `None`: the table is full.
--- /dev/null
+++ b/src/net/service.rs
@@ -0,0 +1,97 @@
+//! What a front may ask of the gateway, whatever stands behind it: take a request through the core, and know under
+//! which version it came.
+
+use super::Place;
+use super::identity::Guard;
+use super::snapshot::Snapshot;
+use super::store::{Pull, Reply};
+use crate::broker::Order;
+use crate::interface::{MemberId, Micros, Request};
+use sagearch_identity::Caller;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How a request's attempts are carried out.
+pub enum Work {
+    Pull(Pull),
+    /// A look-up by name: the picked member is only asked whether it is there.
+    Check,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum Final {
+    Served(Reply),
+    Checked(Order),
+    Refused(Option<Micros>),
+    Failed,
+    /// The client left; nothing is owed.
+    Gone,
+}
+
+impl Final {
+    pub fn label(&self) -> &'static str {
+        match self {
+            Final::Served(_) => "served",
+            Final::Checked(_) => "checked",
+            Final::Refused(_) => "refused",
+            Final::Failed => "failed",
+            Final::Gone => "gone",
+        }
+    }
+}
+
+/// Who waits for an answer.
+pub trait Client {
+    /// Whether it has neither closed nor reset its connection.
+    fn still_there(&self) -> bool;
+}
+
+/// How clients are sent away: for how long that has gone on, and after what time the connections that are
+/// idle, and those without a whole request, are closed. Until then each answer closes its connection, and so
+/// no request crosses with a close that need not.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    pub since: Duration,
+    pub idle: Duration,
+    pub asking: Duration,
+}
+
+/// The gateway, as its fronts see it.
+pub trait Service: Send + Sync {
+    /// All that was decided before now. A request takes it once and keeps it.
+    fn snapshot(&self) -> Arc<Snapshot>;
+
+    /// Who calls, and with which rights.
+    fn guard(&self) -> &Guard;
+
+    /// Takes a request from its arrival to its end. Returns as soon as the end is known.
+    fn carry(
+        &self,
+        request: Request,
+        caller: &Arc<Caller>,
+        work: &Work,
+        client: Option<&dyn Client>,
+    ) -> Final;
+
+    /// Counts a request as open until what is returned is dropped.
+    fn taken(&self) -> Option<Place>;
+
+    /// An id has come into use: the other process of this gateway is to know.
+    fn used(&self, id: u64);
+
+    /// The time that a request may take. `MAX`: whatever its client says.
+    fn time_left(&self) -> Micros;
+
+    /// Whether clients are being sent away.
+    fn leaving(&self) -> Option<Leaving>;
+
+    /// Whether the gateway is being emptied.
+    fn drained(&self) -> bool;
+
+    /// Whether new connections are another process's.
+    fn handed_over(&self) -> bool;
+
+    fn address(&self, member: MemberId) -> Option<SocketAddr>;
+}
