Subscriber, service, rollout and store of streamed configuration, as a package without I/O

Change: crates/stream: versions under one digest, framing, both sides' machines, staged rollouts that take themselves back, and files with checksums over a small trait.

--- a/crates/identity/benches/identity.rs
+++ b/crates/identity/benches/identity.rs
@@ -50,6 +50,40 @@
     }
 }
 
+/// The price of a fresh verification over the bare library's, in turn over many rounds: clocks of machines drift.
+fn ratios(_: &mut Criterion) {
+    for algorithm in [Algorithm::EdDsa, Algorithm::Es256] {
+        let key = signer("k1", algorithm);
+        let many: Vec<String> =
+            (0..60).map(|n| token(&key, &with(json!({"jti": format!("t-{n}")})))).collect();
+        let bare: &'static dyn VerificationAlgorithm = match algorithm {
+            Algorithm::EdDsa => &ED25519,
+            _ => &ECDSA_P256_SHA256_FIXED,
+        };
+        let point = point(&key, algorithm);
+        let mut fresh = authority(Settings { cached: 1, ..settings() }, &jwks(&[&key]));
+        let mut ratios: Vec<f64> = (0..61)
+            .map(|_| {
+                let began = std::time::Instant::now();
+                for token in &many {
+                    let signed = Signed::parse(token).unwrap();
+                    black_box(UnparsedPublicKey::new(bare, &point).verify(signed.input, &signed.signature))
+                        .unwrap();
+                }
+                let reading = std::time::Instant::now();
+                many.iter().for_each(|token| drop(black_box(Signed::parse(token))));
+                let read = reading.elapsed();
+                let alone = began.elapsed() - read - read;
+                let began = std::time::Instant::now();
+                many.iter().for_each(|token| drop(black_box(ask(&mut fresh, token, 0).unwrap())));
+                began.elapsed().as_secs_f64() / alone.as_secs_f64()
+            })
+            .collect();
+        ratios.sort_by(f64::total_cmp);
+        println!("{} fresh against the bare library: {:.2} (median of 61)", algorithm.name(), ratios[30]);
+    }
+}
+
 fn point(key: &sagearch_identity::issue::Signer, algorithm: Algorithm) -> Vec<u8> {
     use base64::Engine;
     let jwk = key.jwk();
@@ -129,5 +163,5 @@
     println!("memory per cached token: {} bytes", (held() - before) / shown.len());
 }
 
-criterion_group!(benches, tokens, rights, memory);
+criterion_group!(benches, tokens, ratios, rights, memory);
 criterion_main!(benches);
--- /dev/null
+++ b/crates/stream/src/message.rs
@@ -0,0 +1,173 @@
+//! What the two sides say, and how it stands on the wire: four bytes of length, then JSON.
+//!
+//! ```text
+//! gateway                                  control service
+//!   Hello{node, instance, have, nacked} ->
+//!                                        <- Welcome{beat_ms, spread_ms} or Busy{retry_ms}
+//!                                        <- Offer{nonce, id, base, names, removed, bytes}
+//!                                        <- Piece{nonce, name, text, last} ... in the offer's order
+//!                                        <- Done{nonce}
+//!   Ack{nonce, id}                       -> in force
+//!   Nack{nonce, id, cause}               -> turned down; what was in force still is
+//!   Skip{nonce, id}                      -> a newer one has come before this could be applied
+//!   Beat{requests, failed}              <-> each `beat_ms`
+//! ```
+
+use crate::version::{Digest, Id};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// The largest frame, and the longest stretch of a document in one: JSON may take six bytes for one.
+pub const LARGEST: usize = 512 * 1024;
+pub const PIECE: usize = 64 * 1024;
+/// Said by both in the first message; another one ends the connection.
+pub const PROTOCOL: u32 = 1;
+
+/// What a gateway says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "say", rename_all = "snake_case")]
+pub enum FromGateway {
+    Hello {
+        protocol: u32,
+        node: String,
+        /// One process of the gateway: there are two in an upgrade.
+        instance: u64,
+        /// What is in force.
+        have: Option<Id>,
+        /// What was turned down last, so that it is not offered again.
+        nacked: Option<Id>,
+    },
+    Ack {
+        nonce: u64,
+        id: Id,
+    },
+    Nack {
+        nonce: u64,
+        id: Id,
+        cause: String,
+    },
+    Skip {
+        nonce: u64,
+        id: Id,
+    },
+    /// It lives, and how it has fared since its start.
+    Beat {
+        requests: u64,
+        failed: u64,
+    },
+    /// A stretch of a document that an operator is about to publish.
+    Piece {
+        name: String,
+        text: String,
+        last: bool,
+    },
+    /// An operator's command, on a connection of its own.
+    Command {
+        command: Command,
+    },
+}
+
+/// What a control service says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "say", rename_all = "snake_case")]
+pub enum FromService {
+    Welcome {
+        protocol: u32,
+        beat_ms: u64,
+        /// Over which gateways come back when this service has been away.
+        spread_ms: u64,
+    },
+    /// Too many at once: come back then.
+    Busy {
+        retry_ms: u64,
+    },
+    Offer {
+        nonce: u64,
+        id: Id,
+        /// What the documents below are to be put upon; `None`: nothing, all of them come.
+        base: Option<Digest>,
+        /// Documents that come, in this order.
+        names: Vec<String>,
+        /// Documents of the base that are gone.
+        removed: Vec<String>,
+        /// Of all that the version holds.
+        bytes: u64,
+    },
+    Piece {
+        nonce: u64,
+        name: String,
+        text: String,
+        last: bool,
+    },
+    Done {
+        nonce: u64,
+    },
+    Beat,
+    /// The answer to a command.
+    Reply {
+        answer: Result<serde_json::Value, String>,
+    },
+}
+
+/// What operators ask of a control service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "snake_case")]
+pub enum Command {
+    /// What came in pieces.
+    Publish {
+        plan: crate::rollout::Plan,
+    },
+    Status,
+    /// Back to what a version of before held, under a new number.
+    Rollback {
+        number: u64,
+    },
+    /// The documents of a version, as a transfer before the answer; the newest without.
+    Show {
+        number: Option<u64>,
+    },
+}
+
+/// A message as it stands on the wire.
+pub fn encode(message: &impl Serialize) -> Result<Vec<u8>, String> {
+    let text = serde_json::to_vec(message).map_err(|e| e.to_string())?;
+    if text.len() > LARGEST {
+        return Err(format!("a message of {} bytes is over {LARGEST}", text.len()));
+    }
+    let mut frame = Vec::with_capacity(4 + text.len());
+    frame.extend_from_slice(&(text.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&text);
+    Ok(frame)
+}
+
+/// Bytes as they come, in any pieces, and the messages in them.
+#[derive(Default)]
+pub struct Decoder {
+    buffer: Vec<u8>,
+    used: usize,
+}
+
+impl Decoder {
+    pub fn take(&mut self, bytes: &[u8]) {
+        // What has been read is let go before more is kept.
+        if self.used > 0 {
+            self.buffer.drain(..self.used);
+            self.used = 0;
+        }
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next message. `None`: it has not come whole yet.
+    pub fn message<T: DeserializeOwned>(&mut self) -> Result<Option<T>, String> {
+        let rest = &self.buffer[self.used..];
+        let Some((head, rest)) = rest.split_first_chunk::<4>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length > LARGEST {
+            return Err(format!("a message of {length} bytes is over {LARGEST}"));
+        }
+        let Some(text) = rest.get(..length) else { return Ok(None) };
+        let message = serde_json::from_slice(text).map_err(|e| format!("not a message: {e}"))?;
+        self.used += 4 + length;
+        Ok(Some(message))
+    }
+}
--- /dev/null
+++ b/crates/stream/src/version.rs
@@ -0,0 +1,69 @@
+//! A version: documents by name under one number and one digest.
+
+use ring::digest::{Context, SHA256};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Bounds of a version; more turns it down.
+pub const MOST_DOCUMENTS: usize = 10_000;
+pub const LONGEST_NAME: usize = 256;
+
+/// SHA-256 over names, lengths and texts, in hex.
+pub type Digest = String;
+
+/// Which version: later ones are greater. The epoch grows when a service has lost its numbers and begins again.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Id {
+    pub epoch: u64,
+    pub number: u64,
+    pub digest: Digest,
+}
+
+impl Id {
+    /// Its place in the order, whatever it holds.
+    pub fn place(&self) -> (u64, u64) {
+        (self.epoch, self.number)
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}-{}", self.epoch, self.number, self.digest.get(..8).unwrap_or(&self.digest))
+    }
+}
+
+/// Documents by name, such as `operators.kdl`.
+pub type Documents = BTreeMap<String, String>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Version {
+    pub id: Id,
+    pub documents: Documents,
+}
+
+pub fn digest(documents: &Documents) -> Digest {
+    let mut context = Context::new(&SHA256);
+    for (name, text) in documents {
+        for part in [name, text] {
+            context.update(&(part.len() as u64).to_be_bytes());
+            context.update(part.as_bytes());
+        }
+    }
+    context.finish().as_ref().iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+impl Version {
+    pub fn new(epoch: u64, number: u64, documents: Documents) -> Version {
+        Version { id: Id { epoch, number, digest: digest(&documents) }, documents }
+    }
+
+    /// Whether it holds what its digest says.
+    pub fn is_whole(&self) -> bool {
+        digest(&self.documents) == self.id.digest
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.documents.iter().map(|(name, text)| name.len() + text.len()).sum()
+    }
+}
--- /dev/null
+++ b/crates/stream/tests/parts.rs
@@ -0,0 +1,209 @@
+//! The store over disks that fail, framing in pieces, rollouts, and herds.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use sagearch_stream::message::{Decoder, FromGateway, FromService, encode};
+use sagearch_stream::rollout::{Fares, Plan, Rollout, Verdict, place};
+use sagearch_stream::store::{Broken, Disk, decode, keep, recover};
+use sagearch_stream::subscriber::{Input, Output, Settings, Subscriber};
+use sagearch_stream::version::{Documents, Version};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+
+/// A folder in memory that can be full, read-only, or cut a write short.
+#[derive(Default)]
+struct Memory {
+    files: RefCell<BTreeMap<String, Vec<u8>>>,
+    room: Cell<Option<usize>>,
+    read_only: Cell<bool>,
+}
+
+impl Disk for Memory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.files.borrow().keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        self.files.borrow().get(name).cloned().ok_or(io::ErrorKind::NotFound.into())
+    }
+
+    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        if self.read_only.get() {
+            return Err(io::ErrorKind::ReadOnlyFilesystem.into());
+        }
+        let room = self.room.get().unwrap_or(usize::MAX);
+        self.files.borrow_mut().insert(name.into(), bytes[..bytes.len().min(room)].to_vec());
+        if bytes.len() > room { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let bytes = self.files.borrow_mut().remove(from).ok_or(io::ErrorKind::NotFound)?;
+        self.files.borrow_mut().insert(to.into(), bytes);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.files.borrow_mut().remove(name).map(drop).ok_or(io::ErrorKind::NotFound.into())
+    }
+}
+
+fn version(number: u64) -> Version {
+    Version::new(1, number, Documents::from([("d.kdl".into(), format!("limits lookups={number}"))]))
+}
+
+fn numbers(disk: &Memory) -> Vec<u64> {
+    recover(disk).versions.iter().map(|version| version.id.number).collect()
+}
+
+#[test]
+fn the_last_versions_are_kept_and_the_newest_whole_one_counts() {
+    let disk = Memory::default();
+    for number in 1..=7 {
+        keep(&disk, &version(number), 3, 1).unwrap();
+    }
+    assert_eq!(numbers(&disk), [7, 6, 5]);
+    let newest = disk.list().unwrap().pop().unwrap();
+    let good = disk.read(&newest).unwrap();
+    let spoil = |bytes: Vec<u8>| {
+        disk.files.borrow_mut().insert(newest.clone(), bytes);
+        let recovered = recover(&disk);
+        assert_eq!(recovered.versions[0].id.number, 6);
+        recovered.passed_over[0].1.clone()
+    };
+    for cut in [0, 3, 5, 20, 40, good.len() - 1] {
+        assert_eq!(spoil(good[..cut].to_vec()), Broken::Torn, "cut at {cut}");
+    }
+    let mut newer = good.clone();
+    newer[5] = 9;
+    assert_eq!(spoil(newer), Broken::Newer(9));
+    assert_eq!(spoil(b"something else entirely".to_vec()), Broken::Foreign);
+    for at in (0..good.len()).step_by(7) {
+        let mut flipped = good.clone();
+        flipped[at] ^= 0x10;
+        spoil(flipped);
+    }
+}
+
+#[test]
+fn a_disk_that_is_full_or_read_only_loses_nothing_that_was_kept() {
+    let disk = Memory::default();
+    keep(&disk, &version(1), 3, 1).unwrap();
+    for room in [0, 1, 10, 60, 100] {
+        disk.room.set(Some(room));
+        assert!(keep(&disk, &version(2), 3, 1).is_err());
+        assert_eq!((numbers(&disk), disk.list().unwrap().len()), (vec![1], 1), "nothing half is left");
+    }
+    disk.room.set(None);
+    disk.read_only.set(true);
+    assert!(keep(&disk, &version(2), 3, 1).is_err());
+    assert_eq!(numbers(&disk), [1]);
+}
+
+#[test]
+fn frames_come_whole_in_any_pieces() {
+    let said = [
+        FromGateway::Beat { requests: 7, failed: 1 },
+        FromGateway::Nack { nonce: 3, id: version(2).id, cause: "f:1:1: \"x\"".into() },
+    ];
+    let bytes: Vec<u8> = said.iter().flat_map(|message| encode(message).unwrap()).collect();
+    for size in 1..bytes.len() {
+        let (mut decoder, mut got) = (Decoder::default(), Vec::new());
+        for piece in bytes.chunks(size) {
+            decoder.take(piece);
+            while let Some(message) = decoder.message::<FromGateway>().unwrap() {
+                got.push(message);
+            }
+        }
+        assert_eq!(got, said, "in pieces of {size}");
+    }
+    let mut large = Decoder::default();
+    large.take(&u32::MAX.to_be_bytes());
+    assert!(large.message::<FromGateway>().is_err());
+}
+
+fn plan() -> Plan {
+    Plan { stages: vec![10, 100], hold_ms: 100, within_ms: 1_000, nacks: 1, rise: 20, requests: 50 }
+}
+
+#[rstest]
+#[case::not_all_yet(Fares { gateways: 3, have: 2, ..Fares::default() }, 10, Verdict::Wait)]
+#[case::held(Fares { gateways: 3, have: 3, ..Fares::default() }, 10, Verdict::Wait)]
+#[case::too_late(Fares { gateways: 3, have: 2, ..Fares::default() }, 1_000, Verdict::TakeBack("only 2 of 3 gateways have it in time".into()))]
+#[case::one_may(Fares { gateways: 3, have: 2, nacks: 1, ..Fares::default() }, 10, Verdict::Wait)]
+#[case::two_may_not(Fares { gateways: 3, nacks: 2, ..Fares::default() }, 10, Verdict::TakeBack("2 gateways have turned it down".into()))]
+#[case::failures(Fares { gateways: 1, have: 1, requests: 100, failed: 13, requests_before: 100, failed_before: 10, ..Fares::default() }, 10,
+    Verdict::TakeBack("13.0% of requests fail, 10.0% did before".into()))]
+#[case::within_the_rise(Fares { gateways: 1, have: 1, requests: 100, failed: 12, requests_before: 100, failed_before: 10, ..Fares::default() }, 10, Verdict::Wait)]
+#[case::too_few_to_tell(Fares { gateways: 1, have: 1, requests: 49, failed: 49, ..Fares::default() }, 10, Verdict::Wait)]
+fn a_stage_is_judged(#[case] fares: Fares, #[case] now: u64, #[case] want: Verdict) {
+    assert_eq!(Rollout::new(plan(), 0).judge(fares, now), want);
+}
+
+#[test]
+fn stages_follow_each_other_and_larger_ones_hold_the_smaller() {
+    let all = Fares { gateways: 3, have: 3, ..Fares::default() };
+    let mut rollout = Rollout::new(plan(), 0);
+    assert_eq!(rollout.judge(all, 50), Verdict::Wait);
+    assert_eq!(rollout.judge(all, 150), Verdict::NextStage);
+    assert_eq!((rollout.share(), rollout.judge(all, 200)), (100, Verdict::Wait));
+    assert_eq!(rollout.judge(all, 300), Verdict::Complete);
+    let names: Vec<String> = (0..10_000).map(|n| format!("gateway-{n}")).collect();
+    let tenth = names.iter().filter(|name| place(name) < 10).count();
+    assert!((850..1_150).contains(&tenth), "{tenth} of 10,000");
+    for bad in [vec![], vec![50], vec![0, 100], vec![50, 50, 100], vec![60, 40, 100]] {
+        assert!(Plan { stages: bad, ..plan() }.check().is_err());
+    }
+}
+
+/// A thousand gateways lose the service at one moment and come back over the stated window.
+#[test]
+fn a_fleet_comes_back_without_a_herd() {
+    let settings =
+        Settings { node: "n".into(), instance: 1, addresses: 2, largest: 1, beat: 5_000, spread: 10_000 };
+    let mut at: Vec<u64> = Vec::new();
+    for seed in 0..1_000 {
+        let mut one = Subscriber::new(settings.clone(), None, seed, 0);
+        one.handle(0, Input::Tick);
+        one.handle(0, Input::Connected);
+        one.handle(0, Input::Said(FromService::Welcome { protocol: 1, beat_ms: 5_000, spread_ms: 10_000 }));
+        one.handle(1_000, Input::Lost("gone".into()));
+        let back = (1_000..20_000).find(|now| {
+            one.handle(*now, Input::Tick).iter().any(|out| matches!(out, Output::Connect { address: 0 }))
+        });
+        at.push(back.expect("it comes back") - 1_000);
+    }
+    at.sort_unstable();
+    assert!(*at.last().unwrap() <= 10_000);
+    let most = (0..10)
+        .map(|part| at.iter().filter(|at| (part * 1_000..(part + 1) * 1_000).contains(*at)).count())
+        .max();
+    assert!(most.unwrap() < 150, "{most:?} of 1,000 in one second of ten");
+}
+
+#[test]
+fn a_half_dead_service_is_noticed_and_the_next_address_tried() {
+    let settings = Settings { node: "n".into(), instance: 1, addresses: 2, largest: 1, beat: 100, spread: 0 };
+    let mut one = Subscriber::new(settings, None, 1, 0);
+    assert_eq!(one.handle(0, Input::Tick), [Output::Connect { address: 0 }]);
+    // It is connected and says nothing.
+    one.handle(0, Input::Connected);
+    let out = one.handle(300, Input::Tick);
+    assert!(matches!(&out[..], [Output::Disconnect { .. }]), "{out:?}");
+    let next = (300..2_000).find_map(|now| {
+        one.handle(now, Input::Tick).into_iter().find(|out| matches!(out, Output::Connect { .. }))
+    });
+    assert_eq!(next, Some(Output::Connect { address: 1 }));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_bytes_are_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let _ = decode::<Version>(&bytes);
+        let mut decoder = Decoder::default();
+        decoder.take(&bytes);
+        let _ = decoder.message::<FromService>();
+    }
+}
