--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,13 @@
+//! The control service: keeps versions of the operators' configuration, checks them before they go out, and streams
+//! them to gateways in stages.
+//!
+//! What it decides is [`sagearch_stream::service`]'s; here are its sockets ([`server`]), its disk ([`disk`]) and the
+//! operators' side of the stream ([`client`]).
+
+pub mod client;
+pub mod disk;
+pub mod server;
+pub mod tls;
+
+/// The document that holds a version's part of the operators' language.
+pub const DOCUMENT: &str = "operators.kdl";
--- a/crates/operators/src/control.rs
+++ b/crates/operators/src/control.rs
@@ -1,7 +1,7 @@
 //! Where versions come from, bounds that change in service, and key sets that come with a version.
 
 use crate::check::Read;
-use crate::fault::Fault;
+use crate::fault::{Fault, Faults};
 use crate::files::Files;
 use crate::item::Item;
 use sagearch_identity::Millis;
@@ -78,3 +78,61 @@
     KeySet::parse(text.as_bytes()).map_err(|cause| item.fault(format!("key set {name:?}: {cause}")))?;
     Ok((name, text))
 }
+
+/// A control service, as its file states it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceFile {
+    pub listen: SocketAddr,
+    pub data: PathBuf,
+    pub epoch: u64,
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+    pub roots: PathBuf,
+    /// What the URI name of a gateway's certificate begins with; its name follows.
+    pub gateways: String,
+    pub beat: Millis,
+    pub spread: Millis,
+    pub at_once: usize,
+    pub connections: usize,
+    pub keep: usize,
+    pub largest: usize,
+    pub operators: Vec<ServiceOperator>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceOperator {
+    pub name: String,
+    pub uri: String,
+    pub may_change: bool,
+}
+
+/// Reads a control service's file.
+pub fn service(name: &str, files: &dyn Files) -> Result<ServiceFile, Faults> {
+    let items = crate::check::read(name, files, &crate::schema::SERVICE_FILE)?;
+    let item = items.first().ok_or_else(|| Fault::unread(name, "states no service"))?;
+    Ok(service_of(item)?)
+}
+
+fn service_of(item: &Item) -> Result<ServiceFile, Fault> {
+    let mut operators = Vec::new();
+    for child in item.children() {
+        let (uri, may_change) = (child.text("uri")?, child.text("may")? == "change");
+        operators.push(ServiceOperator { name: child.one_text()?, uri, may_change });
+    }
+    Ok(ServiceFile {
+        listen: item.address("listen")?,
+        data: item.path("data")?,
+        epoch: item.number("epoch")?,
+        certificate: item.path("certificate")?,
+        key: item.path("key")?,
+        roots: item.path("roots")?,
+        gateways: item.text("gateways")?,
+        beat: item.millis("beat")?,
+        spread: item.millis("spread")?,
+        at_once: item.number("at-once")? as usize,
+        connections: item.number("connections")? as usize,
+        keep: item.number("keep")? as usize,
+        largest: item.number("largest")? as usize,
+        operators,
+    })
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -76,7 +76,23 @@
 /// A version that a control service streams, by the same rules.
 pub fn streamed(name: &str, text: &str, around: &dyn Surroundings) -> Result<Operators, Faults> {
     let files = OneFile { name, text };
-    decode(&check::read(name, &files, &schema::STREAMED)?, &files, around)
+    let items = check::read(name, &files, &schema::STREAMED)?;
+    let read = decode(&items, &files, around)?;
+    // Paths mean something else on each machine.
+    let own = read.identity.as_ref().is_some_and(|identity| {
+        let file = |issuer: &sagearch_identity::settings::Issuer| match &issuer.source {
+            sagearch_identity::settings::Source::File(_) => true,
+            sagearch_identity::settings::Source::Url { roots, .. } => roots.is_some(),
+            sagearch_identity::settings::Source::Set(_) => false,
+        };
+        identity.trust != identity::TrustFiles::default() || identity.settings.issuers.iter().any(file)
+    });
+    match items.iter().find(|item| own && item.name() == "identity") {
+        Some(item) => {
+            Err(item.fault("paths of a machine can't be streamed: keys come from a set or a URL").into())
+        }
+        None => Ok(read),
+    }
 }
 
 /// One text of all that a file includes and names, fit to be streamed.
@@ -89,11 +105,7 @@
         let [name, set] = [name, set].map(|text| kdl::KdlValue::String(text.clone()));
         text.push_str(&format!("key-set {name} json={set}\n"));
     }
-    // What is streamed must read as what was written.
-    match streamed(name, &text, &Anywhere)? == read {
-        true => Ok(text),
-        false => Err(Fault::unread(name, "paths of this machine can't be streamed").into()),
-    }
+    streamed(name, &text, &Anywhere).map(|_| text)
 }
 
 /// Makes types of items that have been checked against the schema.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use sagearch::log::Format;
 use sagearch::net::{self, gateway::Gateway, signal};
 use sagearch_operators::identity::Identity;
+use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -49,6 +50,12 @@
     /// Check tokens and certificates, show keys, and issue some
     #[command(subcommand)]
     Identity(identity::Command),
+    /// The control service and its commands, by the program `sagearch-control` beside this one
+    #[command(disable_help_flag = true)]
+    Control {
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<OsString>,
+    },
     /// Have the group agree on new routes of the name front: `deadline` and `source`s, as in the operators' file
     Propose {
         /// Where an instance of the group listens
@@ -80,18 +87,28 @@
     Ok(())
 }
 
+/// Becomes another program of the project, which stands beside this one: what only some need is not in the gateway.
+fn beside(program: &str, arguments: &[OsString]) -> Result<ExitCode, String> {
+    use std::os::unix::process::CommandExt;
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let path = own.with_file_name(program);
+    let failed = std::process::Command::new(&path).args(arguments).exec();
+    Err(format!("{}: {failed}; build it with: cargo build --release -p {program}", path.display()))
+}
+
 fn run(cli: Cli) -> Result<ExitCode, String> {
     let Cli { command, config, operators, .. } = cli;
     // Their exit codes are part of their answers.
     match &command {
         Some(Command::Identity(command)) => return Ok(identity::run(command, &operators)),
         Some(Command::Config(command)) => return Ok(commands::config::run(command)),
+        Some(Command::Control { arguments }) => return beside("sagearch-control", arguments),
         _ => {}
     }
     let read = move || config::read(config.as_deref(), &operators).map_err(|e| e.to_string());
     match command {
         None | Some(Command::Serve) => serve(read),
-        Some(Command::Identity(_) | Command::Config(_)) => Ok(()),
+        Some(Command::Identity(_) | Command::Config(_) | Command::Control { .. }) => Ok(()),
         Some(Command::Version) => {
             println!("sagearch {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -74,6 +74,8 @@
     seats: Mutex<BTreeMap<u64, Seat>>,
     next: AtomicU64,
     most: usize,
+    /// A lower bound that operators state; `MAX`: none.
+    stated: AtomicUsize,
     /// Places that are not to be had now: during an upgrade the other process of this gateway holds them.
     taken: AtomicUsize,
     /// Clients that are told of the full table.
@@ -196,6 +198,7 @@
             seats: Mutex::default(),
             next: AtomicU64::new(0),
             most,
+            stated: AtomicUsize::new(usize::MAX),
             taken: AtomicUsize::new(0),
             lobby: Arc::default(),
             lobby_most,
@@ -215,13 +218,18 @@
         lock(&self.seats).len()
     }
 
+    /// Bounds the table by what operators state, below what the descriptors allow.
+    pub fn set_most(&self, stated: Option<usize>) {
+        self.stated.store(stated.unwrap_or(usize::MAX), Ordering::Relaxed);
+    }
+
     /// Takes places out of the table until it is told otherwise.
     pub fn take_places(&self, taken: usize) {
         self.taken.store(taken, Ordering::SeqCst);
     }
 
     pub(super) fn most(&self) -> usize {
-        super::left_of(self.most, self.taken.load(Ordering::SeqCst))
+        super::left_of(self.most, self.taken.load(Ordering::SeqCst)).min(self.stated.load(Ordering::Relaxed))
     }
 
     /// Room for one more: free already, or made by closing a connection that nobody waits on. Handshakes have a
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,300 @@
+//! The stream of versions from a control service: sockets, files and the clock round [`sagearch_stream::subscriber`].
+//!
+//! All of it runs on a thread of its own, which may block on the disk and the network; requests see a version only as
+//! the snapshot that is swapped.
+
+use super::clock::Clock;
+use super::identity::Guard;
+use super::layers::{Layers, Ready};
+use super::tls::{bytes_of, provider};
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use sagearch_operators::control::Control;
+use sagearch_stream::Version;
+use sagearch_stream::message::{Decoder, FromService, encode};
+use sagearch_stream::store::{self, Disk, recover};
+use sagearch_stream::subscriber::{CONNECT_WITHIN, Input, Note, Output, Settings, Subscriber};
+use std::collections::VecDeque;
+use std::fs;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a look for what has come waits, and a write for its other side.
+const LOOK: Duration = Duration::from_millis(20);
+const STUCK: Duration = Duration::from_secs(5);
+
+/// A folder on this machine.
+pub struct Folder(pub PathBuf);
+
+impl Disk for Folder {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let names = fs::read_dir(&self.0)?.map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned()));
+        names.collect()
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let path = self.0.join(name);
+        if fs::metadata(&path)?.len() > store::LARGEST as u64 {
+            return Err(io::ErrorKind::FileTooLarge.into());
+        }
+        fs::read(path)
+    }
+
+    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut file = fs::File::create(self.0.join(name))?;
+        file.write_all(bytes)?;
+        file.sync_all()
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.0.join(from), self.0.join(to))?;
+        // The folder's own entry is to be on the disk as well.
+        fs::File::open(&self.0)?.sync_all()
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.0.join(name))
+    }
+}
+
+/// Ends the process at a named step, where a test asks for it. Programs that are released have no such steps.
+fn crash_point(name: &str) {
+    if cfg!(debug_assertions) && std::env::var("SAGEARCH_CRASH_AT").is_ok_and(|at| at == name) {
+        std::process::abort();
+    }
+}
+
+/// Goes on from the newest version on the disk that can be in force here.
+pub fn resume(layers: &Layers, control: &Control) -> Option<Arc<Version>> {
+    let Some(data) = &control.data else {
+        tracing::warn!("control: no folder that lasts is given: versions are held in memory alone");
+        return None;
+    };
+    if let Err(e) = fs::create_dir_all(data) {
+        tracing::error!(cause = %e, folder = %data.display(), "control: versions are held in memory alone");
+    }
+    let recovered = recover(&Folder(data.clone()));
+    for (name, broken) in &recovered.passed_over {
+        tracing::warn!(file = name, cause = %broken, "control: a kept version is passed over");
+    }
+    for version in recovered.versions.into_iter().map(Arc::new) {
+        match layers.ready(&version) {
+            Ok(ready) => {
+                layers.commit(ready);
+                tracing::info!(version = %version.id, "control: resumed from the last good version");
+                return Some(version);
+            }
+            Err(cause) => {
+                tracing::warn!(version = %version.id, cause, "control: a kept version can't be used")
+            }
+        }
+    }
+    None
+}
+
+type Stream = StreamOwned<ClientConnection, TcpStream>;
+
+struct Follower<'a> {
+    layers: &'a Layers,
+    guard: &'a Guard,
+    control: Control,
+    clock: Clock,
+    subscriber: Subscriber,
+    line: Option<(Stream, Decoder)>,
+    /// Staged, and not in force yet.
+    ready: Option<Ready<'a>>,
+}
+
+/// Reads what TLS needs each time anew: certificates change in service.
+fn client(control: &Control) -> Result<Arc<ClientConfig>, String> {
+    let told = |e: rustls::pki_types::pem::Error| e.to_string();
+    let mut roots = RootCertStore::empty();
+    for root in CertificateDer::pem_slice_iter(&bytes_of(&control.roots)?) {
+        roots.add(root.map_err(told)?).map_err(|e| e.to_string())?;
+    }
+    let chain: Result<Vec<_>, _> = CertificateDer::pem_slice_iter(&bytes_of(&control.certificate)?).collect();
+    let key = PrivateKeyDer::from_pem_slice(&bytes_of(&control.key)?).map_err(told)?;
+    let builder = ClientConfig::builder_with_provider(provider()).with_safe_default_protocol_versions();
+    let builder = builder.map_err(|e| e.to_string())?.with_root_certificates(roots);
+    builder.with_client_auth_cert(chain.map_err(told)?, key).map(Arc::new).map_err(|e| e.to_string())
+}
+
+fn connect(control: &Control, address: usize) -> Result<Stream, String> {
+    let told = |e: &dyn std::fmt::Display| e.to_string();
+    let (at, name) = control.addresses.get(address).ok_or("no such address")?;
+    let within = Duration::from_millis(CONNECT_WITHIN);
+    let mut sock = TcpStream::connect_timeout(at, within).map_err(|e| told(&e))?;
+    sock.set_nodelay(true).map_err(|e| told(&e))?;
+    sock.set_write_timeout(Some(STUCK)).map_err(|e| told(&e))?;
+    sock.set_read_timeout(Some(within)).map_err(|e| told(&e))?;
+    let name = ServerName::try_from(name.clone()).map_err(|e| told(&e))?;
+    let mut conn = ClientConnection::new(client(control)?, name).map_err(|e| told(&e))?;
+    while conn.is_handshaking() {
+        conn.complete_io(&mut sock).map_err(|e| told(&e))?;
+    }
+    sock.set_read_timeout(Some(LOOK)).map_err(|e| told(&e))?;
+    Ok(StreamOwned::new(conn, sock))
+}
+
+impl<'a> Follower<'a> {
+    fn now(&self) -> u64 {
+        self.clock.now() / 1_000
+    }
+
+    fn run(&mut self) -> ! {
+        let mut piece = vec![0; 64 * 1024];
+        loop {
+            let (requests, failed) = self.guard.counts();
+            self.subscriber.set_counts(requests, failed);
+            self.take(Input::Tick);
+            let Some((stream, decoder)) = &mut self.line else {
+                std::thread::sleep(LOOK);
+                continue;
+            };
+            match stream.read(&mut piece) {
+                Ok(0) => self.lose("it closed the connection".into()),
+                Ok(read) => {
+                    decoder.take(&piece[..read]);
+                    self.hear();
+                }
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => self.lose(e.to_string()),
+            }
+        }
+    }
+
+    fn hear(&mut self) {
+        loop {
+            let next = self.line.as_mut().map(|(_, decoder)| decoder.message::<FromService>());
+            match next {
+                Some(Ok(Some(message))) => self.take(Input::Said(message)),
+                Some(Err(cause)) => return self.lose(cause),
+                _ => return,
+            }
+        }
+    }
+
+    fn lose(&mut self, cause: String) {
+        if self.line.take().is_some() {
+            tracing::warn!(cause, "control: the connection is lost; what is in force stays");
+        }
+        self.take(Input::Lost(cause));
+    }
+
+    /// Tells the machine what happened and carries out what it says, until it wants nothing more.
+    fn take(&mut self, input: Input) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            for output in self.subscriber.handle(self.now(), input) {
+                inputs.extend(self.carry_out(output));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, output: Output) -> Option<Input> {
+        match output {
+            Output::Connect { address } => Some(match connect(&self.control, address) {
+                Ok(stream) => {
+                    self.line = Some((stream, Decoder::default()));
+                    tracing::info!(address = %self.control.addresses[address].0, "control: connected");
+                    Input::Connected
+                }
+                Err(cause) => {
+                    tracing::debug!(cause, "control: no connection");
+                    Input::Lost(cause)
+                }
+            }),
+            Output::Disconnect { cause } => {
+                tracing::warn!(cause, "control: the connection is given up");
+                self.line = None;
+                None
+            }
+            Output::Say(message) => {
+                let (stream, _) = self.line.as_mut()?;
+                let sent = encode(&message).map_err(io::Error::other).and_then(|bytes| {
+                    stream.write_all(&bytes)?;
+                    stream.flush()
+                });
+                if matches!(message, sagearch_stream::message::FromGateway::Ack { .. }) {
+                    crash_point("acknowledged");
+                }
+                sent.err().map(|e| {
+                    self.line = None;
+                    Input::Lost(e.to_string())
+                })
+            }
+            Output::Stage(version) => {
+                crash_point("assembled");
+                Some(Input::Staged(self.layers.ready(&version).map(|ready| {
+                    crash_point("staged");
+                    self.ready = Some(ready);
+                })))
+            }
+            Output::Store(version) => {
+                let kept = match &self.control.data {
+                    Some(data) => {
+                        store::keep(&Folder(data.clone()), &version, self.control.keep, std::process::id())
+                    }
+                    None => Ok(()),
+                };
+                crash_point("kept");
+                Some(Input::Stored(kept.map_err(|e| e.to_string())))
+            }
+            Output::Commit(_) => {
+                if let Some(ready) = self.ready.take() {
+                    self.layers.commit(ready);
+                }
+                crash_point("in-force");
+                Some(Input::Committed)
+            }
+            Output::Note(note) => {
+                match note {
+                    Note::InForce(id) => tracing::info!(version = %id, "control: in force"),
+                    Note::TurnedDown(id, cause) => {
+                        tracing::error!(version = %id, cause, "control: turned down")
+                    }
+                    Note::Skipped(id) => tracing::info!(version = %id, "control: skipped for a newer one"),
+                    Note::Conflict { held, offered } => {
+                        tracing::error!(%held, %offered, "control: two services disagree about a version");
+                    }
+                    Note::NotKept(id, cause) => {
+                        tracing::error!(version = %id, cause, "control: in force, and not on the disk");
+                    }
+                }
+                None
+            }
+        }
+    }
+}
+
+/// Follows the control services from the version that is in force on.
+pub fn follow(
+    layers: Arc<Layers>,
+    guard: Arc<Guard>,
+    control: Control,
+    clock: Clock,
+    node: &str,
+    seed: u64,
+    in_force: Option<Arc<Version>>,
+) -> io::Result<()> {
+    let settings = Settings {
+        node: node.into(),
+        instance: u64::from(std::process::id()),
+        addresses: control.addresses.len(),
+        largest: control.largest,
+        beat: control.beat,
+        spread: control.spread,
+    };
+    let thread = std::thread::Builder::new().name("control".into()).stack_size(1024 * 1024);
+    let following = thread.spawn(move || {
+        let subscriber = Subscriber::new(settings, in_force, seed ^ 0xc0_47_01, clock.now() / 1_000);
+        let (layers, guard) = (&*layers, &*guard);
+        Follower { layers, guard, control, clock, subscriber, line: None, ready: None }.run()
+    });
+    following.map(drop)
+}
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -175,7 +175,7 @@
             Judged::NoData => self.reply(&query, ResponseCode::NoError, None),
             Judged::Own => self.address(&query, Some(self.gateway)),
             Judged::LookUp { class, object, part, caller } => {
-                let found = self.look_up(class, object, part, &caller, snapshot.routes.deadline_ms);
+                let found = self.look_up(class, object, part, &caller, &snapshot);
                 self.address(&query, found)
             }
         };
@@ -193,9 +193,11 @@
         object: String,
         part: u32,
         caller: &Arc<Caller>,
-        deadline_ms: u64,
+        snapshot: &Snapshot,
     ) -> Option<IpAddr> {
-        let _place = super::Place::take(&self.lookups, MOST_LOOKUPS)?;
+        let (deadline_ms, most) =
+            (snapshot.routes.deadline_ms, snapshot.limits.map_or(MOST_LOOKUPS, |limits| limits.lookups));
+        let _place = super::Place::take(&self.lookups, most)?;
         let _open = self.service.taken();
         let request = Request {
             id: RequestId(self.ids.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst)),
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -3,9 +3,10 @@
 use super::clients::Clients;
 use super::clock::Clock;
 use super::core::{Core, Parts};
-use super::identity::{Guard, Stated};
+use super::identity::Guard;
+use super::layers::Layers;
 use super::service::Service;
-use super::{admin, bus, dns, handover, http, link, lock};
+use super::{admin, bus, control, dns, handover, http, link, lock};
 use crate::broker::Broker;
 use crate::config::{Config, ConfigError, Shape};
 use crate::consensus::Instance;
@@ -79,6 +80,7 @@
 /// A gateway that listens.
 pub struct Gateway {
     pub core: Arc<Core>,
+    layers: Arc<Layers>,
     feed: Arc<bus::Feed>,
     pub listen: SocketAddr,
     /// Where operators call.
@@ -114,15 +116,19 @@
         let connections = names.connections;
         let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
         let guard = Guard::new(clock, seed, Deployment { settings, names });
-        guard.start(&operators);
+        let layers = Arc::new(Layers::new(guard.clone()));
+        layers.start(&operators);
         let operators = operators.unwrap_or_default();
+        // Before anything answers.
+        let resumed = operators.control.as_ref().and_then(|control| control::resume(&layers, control));
+        operators.control.iter().for_each(|control| layers.wait_for_a_version(control));
         let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
         let clients = Arc::new(Clients::new(most, (sockets / 16).max(2)));
         let beside = socket.is_some();
         let parts = Parts {
             clock,
             broker,
-            guard,
+            guard: guard.clone(),
             clients: clients.clone(),
             sockets,
             connections,
@@ -165,6 +171,12 @@
             }
             raft => raft.map(|raft| agree(&core, &raft)).transpose()?,
         };
+        if raft.is_some() {
+            layers.routes_are_agreed();
+        }
+        if let Some(told) = operators.control {
+            control::follow(layers.clone(), guard, told, clock, &name, seed, resumed)?;
+        }
         if let Some(folder) = &lasting
             && let Err(e) = link::start(&core, folder, &name)
         {
@@ -201,7 +213,7 @@
         });
         log::info!("{name} serves at {listen}");
         let (shape, admin) = (Mutex::new(shape), operators_at);
-        Ok(Gateway { core, feed, listen, admin, dns, shape, sockets, raft })
+        Ok(Gateway { core, layers, feed, listen, admin, dns, shape, sockets, raft })
     }
 
     /// Takes in a configuration that has replaced the one before: its settings, the operators' file and the address
@@ -214,15 +226,9 @@
         let core = &self.core;
         // The only other part that can turn a version down; from then on nothing fails.
         let turned_down = |cause| ConfigError { key: "operators".into(), cause };
-        let mut stated = Stated::of(&operators.map_err(turned_down)?);
-        if self.raft.is_some() {
-            // Agreed on, not read.
-            stated.routes = None;
-        }
         let renewed = core.deployment().renewed(settings, names);
-        let staged = core.guard.stage(stated, Some(renewed)).map_err(turned_down)?;
-        core.retune(&staged.snapshot.deployment, self.sockets);
-        core.guard.commit(staged);
+        let tune = |deployment: &Deployment| core.retune(deployment, self.sockets);
+        self.layers.renew(operators.map_err(turned_down)?, renewed, tune).map_err(turned_down)?;
         bus::follow(&self.feed, core, bus);
         *shape = config.shape;
         log::info!("configuration read again: the settings are in force, and the event bus is {bus}");
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -2,6 +2,7 @@
 
 use super::clients::{At, Clients, IDLE, MOMENT, Sitting};
 use super::service::{Final, Service, Work};
+use super::snapshot::Snapshot;
 use super::store::{End, Pull, Reply};
 use super::tls::{Secure, Terms};
 use crate::interface::{Effect, Micros, Request, RequestId};
@@ -343,7 +344,9 @@
             }
         };
         let (service, table) = (service.clone(), clients.clone());
-        let terms = service.guard().tls_of_clients();
+        let snapshot = service.snapshot();
+        clients.set_most(snapshot.limits.and_then(|limits| limits.clients));
+        let terms = snapshot.endpoints.clients.clone();
         if clients.room(terms.as_ref().map(|terms| terms.handshakes)) {
             let ended = |served: io::Result<()>| {
                 if let Err(e) = served {
@@ -469,10 +472,25 @@
         bearer => Credentials { bearer, certificate: sitting.presented() },
     };
     let (snapshot, admitted) = service.guard().admit(shown, &object.pull.class, method, &object.pull.object);
-    let caller = match admitted {
-        Ok(caller) => caller,
-        Err(reason) => return Some(turned_away(reason)),
+    let mut answer = match admitted {
+        Ok(caller) => carried(service, sitting, object, &snapshot, &caller)?,
+        Err(reason) => turned_away(reason),
     };
+    service.guard().count(answer.status >= 400);
+    if snapshot.shows_version {
+        answer.extra += &format!("Config-Version: {}\r\n", snapshot.version);
+    }
+    Some(answer)
+}
+
+/// The answer to a request whose caller may ask for it. `None`: the client has left.
+fn carried(
+    service: &Arc<dyn Service>,
+    sitting: &Sitting,
+    object: Object,
+    snapshot: &Snapshot,
+    caller: &Arc<Caller>,
+) -> Option<Answer> {
     let deployment = &snapshot.deployment;
     let class = deployment.names.classes.get(&object.pull.class).copied();
     let Some(known) = class.and_then(|class| deployment.settings.classes.get(class)) else {
@@ -501,9 +519,9 @@
         purge_group: object.group,
         by_name: false,
     };
-    let end = service.carry(request, &caller, &Work::Pull(object.pull), Some(sitting));
+    let end = service.carry(request, caller, &Work::Pull(object.pull), Some(sitting));
     if service.guard().is_on() {
-        told(&**service, &caller, object.id, &end);
+        told(&**service, caller, object.id, &end);
     }
     if !matches!(end, Final::Gone) {
         sitting.clients.answered(object.id);
--- a/src/net/identity.rs
+++ b/src/net/identity.rs
@@ -30,7 +30,7 @@
 use std::net::IpAddr;
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -72,6 +72,7 @@
     pub limits: Option<Limits>,
     /// Sets of keys that come with it, by name.
     pub key_sets: BTreeMap<String, String>,
+    pub shows_version: bool,
 }
 
 struct NewIdentity {
@@ -102,6 +103,9 @@
     /// What the process before has handed over, for an authority that is made later.
     handed: Mutex<Option<Handover>>,
     logged: Mutex<HashMap<Reason, (Instant, u64)>>,
+    /// Requests that were answered, and those of them that failed.
+    requests: AtomicU64,
+    failed: AtomicU64,
     pub metrics: Metrics,
 }
 
@@ -136,6 +140,7 @@
             routes: operators.routes.clone().or(operators.dns.as_ref().map(|dns| dns.routes.clone())),
             limits: operators.limits,
             key_sets: operators.key_sets.clone(),
+            shows_version: operators.control.as_ref().is_some_and(|control| control.shows_version),
         }
     }
 
@@ -198,6 +203,7 @@
             routes: Arc::default(),
             endpoints: Arc::default(),
             limits: None,
+            shows_version: false,
             who: Who::Off,
         });
         Arc::new(Guard {
@@ -210,6 +216,8 @@
             feeding: AtomicBool::new(false),
             handed: Mutex::default(),
             logged: Mutex::default(),
+            requests: AtomicU64::new(0),
+            failed: AtomicU64::new(0),
             metrics: Metrics::default(),
         })
     }
@@ -240,8 +248,9 @@
         }
     }
 
-    fn seal(&self, cause: &str) {
-        tracing::error!(cause, "the operators' file can't be used: nobody is served");
+    /// Serves nobody until a version is committed.
+    pub fn seal(&self, cause: &str) {
+        tracing::error!(cause, "nobody is served");
         let state = &mut *lock(&self.state);
         state.snapshot = Arc::new(Snapshot { who: Who::Sealed, ..(*state.snapshot).clone() });
         self.on.store(true, Ordering::SeqCst);
@@ -286,6 +295,7 @@
             routes: stated.routes.clone().map_or_else(|| before.routes.clone(), Arc::new),
             endpoints,
             limits: stated.limits,
+            shows_version: stated.shows_version,
             who: if policy.is_some() { Who::On } else { Who::Off },
         };
         let identity = policy.map(|policy| NewIdentity { policy, trust, keys });
@@ -441,6 +451,16 @@
         tracing::info!(reason = reason.label(), not_logged_before = before, "refused for who called");
     }
 
+    /// Counts an answer, by which a control service sees how a version fares.
+    pub fn count(&self, failed: bool) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        self.failed.fetch_add(u64::from(failed), Ordering::Relaxed);
+    }
+
+    pub fn counts(&self) -> (u64, u64) {
+        (self.requests.load(Ordering::Relaxed), self.failed.load(Ordering::Relaxed))
+    }
+
     /// Whether a connection's certificate is good for anything from now on.
     pub fn certificate_stands(&self, presented: &Presented) -> bool {
         let now = self.now();
--- /dev/null
+++ b/src/net/layers.rs
@@ -0,0 +1,123 @@
+//! What the gateway's own file states, and what has been streamed to it: together, what is in force.
+//!
+//! A streamed version brings identity, routes, limits and key sets, in place of the file's. Addresses, TLS and whom to
+//! trust with certificates are each machine's own. One of the two changes at a time, whole or not at all.
+
+use super::identity::{Guard, Staged, Stated};
+use super::lock;
+use crate::settings::Deployment;
+use sagearch_operators::control::Control;
+use sagearch_operators::{Operators, streamed};
+use sagearch_stream::Version;
+use std::sync::{Arc, Mutex, MutexGuard};
+
+/// The document that holds a version's part of the operators' language.
+pub const DOCUMENT: &str = "operators.kdl";
+
+#[derive(Default)]
+struct Held {
+    file: Operators,
+    streamed: Option<(Arc<Version>, Operators)>,
+    /// Routes are agreed on by a group, not read.
+    agreed: bool,
+}
+
+pub struct Layers {
+    guard: Arc<Guard>,
+    held: Mutex<Held>,
+}
+
+/// A streamed version that is ready to be in force.
+pub struct Ready<'a> {
+    held: MutexGuard<'a, Held>,
+    staged: Staged<'a>,
+    version: Arc<Version>,
+    operators: Operators,
+}
+
+/// What both state together.
+fn together(file: &Operators, streamed: Option<(&Version, &Operators)>, agreed: bool) -> Stated {
+    let mut stated = Stated::of(file);
+    if let Some((version, operators)) = streamed {
+        let over = Stated::of(operators);
+        stated.version = version.id.to_string().into();
+        if let Some(mut identity) = over.identity {
+            // Whom to trust with certificates is a matter of this machine's files.
+            identity.trust = stated.identity.take().map(|own| own.trust).unwrap_or_default();
+            stated.identity = Some(identity);
+        }
+        stated.routes = over.routes.or(stated.routes);
+        stated.limits = over.limits.or(stated.limits);
+        stated.key_sets.extend(over.key_sets);
+    }
+    if agreed {
+        stated.routes = None;
+    }
+    stated
+}
+
+impl Layers {
+    pub fn new(guard: Arc<Guard>) -> Layers {
+        Layers { guard, held: Mutex::default() }
+    }
+
+    /// The file of the start. One that can't be used stops nothing, and nobody is served until it can be.
+    pub fn start(&self, operators: &Result<Operators, String>) {
+        let mut held = lock(&self.held);
+        held.file = operators.as_ref().cloned().unwrap_or_default();
+        self.guard.start(operators);
+    }
+
+    /// Routes come from a group from now on.
+    pub fn routes_are_agreed(&self) {
+        lock(&self.held).agreed = true;
+    }
+
+    /// Nobody is served before a first version, where the file says so.
+    pub fn wait_for_a_version(&self, control: &Control) {
+        if control.refuses_without && lock(&self.held).streamed.is_none() {
+            self.guard.seal("no version has come yet");
+        }
+    }
+
+    /// Reads and checks a version with what the file states. Nothing is in force by it.
+    pub fn ready(&self, version: &Arc<Version>) -> Result<Ready<'_>, String> {
+        let held = lock(&self.held);
+        let text = version.documents.get(DOCUMENT).ok_or_else(|| format!("it has no {DOCUMENT}"))?;
+        let around = &self.guard.snapshot().deployment.names;
+        let operators = streamed(DOCUMENT, text, around).map_err(|faults| faults.to_string())?;
+        let stated = together(&held.file, Some((version, &operators)), held.agreed);
+        let staged = self.guard.stage(stated, None)?;
+        Ok(Ready { held, staged, version: version.clone(), operators })
+    }
+
+    /// Brings a version into force.
+    pub fn commit(&self, ready: Ready<'_>) {
+        let Ready { mut held, staged, version, operators } = ready;
+        self.guard.commit(staged);
+        let before = held.streamed.replace((version, operators));
+        drop(held);
+        // With thousands of tenants not under the lock.
+        drop(before);
+    }
+
+    /// The file has changed, and with it the deployment's settings. `tune` is called once nothing can fail any more.
+    pub fn renew(
+        &self,
+        file: Operators,
+        deployment: Deployment,
+        tune: impl FnOnce(&Deployment),
+    ) -> Result<(), String> {
+        let mut held = lock(&self.held);
+        let over = held.streamed.as_ref().map(|(version, operators)| (&**version, operators));
+        let waits = over.is_none() && file.control.as_ref().is_some_and(|control| control.refuses_without);
+        let staged = self.guard.stage(together(&file, over, held.agreed), Some(deployment))?;
+        tune(&staged.snapshot.deployment);
+        self.guard.commit(staged);
+        if waits {
+            self.guard.seal("no version has come yet");
+        }
+        held.file = file;
+        Ok(())
+    }
+}
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -17,6 +17,8 @@
     pub routes: Arc<Routes>,
     pub endpoints: Arc<Endpoints>,
     pub limits: Option<Limits>,
+    /// Answers say under which version they were given.
+    pub shows_version: bool,
     pub who: Who,
 }
 
