--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration language: [KDL](https://kdl.dev) with includes, times with units, and one schema.
 //!
-//! From the schema ([`schema`]) come the checker ([`check`]), the defaults, the reference page ([`reference`]) and the
+//! From the schema ([`schema`]) come the checker ([`check`]), the defaults, the reference page ([`mod@reference`]) and the
 //! completions. A text is read whole or not at all; each fault names file, line, column and cause, and a run tells
 //! all that it finds. Nothing here does I/O: texts come through [`Files`].
 
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -256,12 +256,21 @@
                 Some(Input::Committed)
             }
             Output::Note(note) => {
+                let metrics = &self.guard.metrics;
                 match note {
-                    Note::InForce(id) => tracing::info!(version = %id, "control: in force"),
+                    Note::InForce(id) => {
+                        let took = self.began.elapsed();
+                        metrics.version("in_force", Some(took));
+                        tracing::info!(version = %id, ms = took.as_millis() as u64, "control: in force");
+                    }
                     Note::TurnedDown(id, cause) => {
-                        tracing::error!(version = %id, cause, "control: turned down")
+                        metrics.version("turned_down", None);
+                        tracing::error!(version = %id, cause, "control: turned down");
+                    }
+                    Note::Skipped(id) => {
+                        metrics.version("skipped", None);
+                        tracing::info!(version = %id, "control: skipped for a newer one");
                     }
-                    Note::Skipped(id) => tracing::info!(version = %id, "control: skipped for a newer one"),
                     Note::Conflict { held, offered } => {
                         tracing::error!(%held, %offered, "control: two services disagree about a version");
                     }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -182,6 +182,9 @@
     ops.rollback(1).unwrap();
     wait_for("back again", || get(at, "a1", &token).status == 200 && get(at, "b1", &token).status == 403);
     assert!(version_of(&get(at, "a1", &token)).starts_with("1.3-"), "numbers never go back");
+    let counted = ask_text(gateway.admin.unwrap(), "GET /v1/metrics HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let counted = String::from_utf8(counted.body).unwrap();
+    assert!(counted.contains("sagearch_config_versions_total{outcome=\"in_force\"} 3"), "{counted}");
     let status = ops.status().unwrap();
     assert_eq!((&status["gateways"][0]["node"], &status["gateways"][0]["have"]), (&json!("n0"), &json!(3)));
     // Who may look may not change, and who is nobody gets no word.
