--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,6 +5,7 @@
 //! ask the first cache, name the first parent as source, keep the copy at a rank set by the count.
 //! Everything else is an exception with a comment that names the trouble it guards against.
 
+use crate::average::{Average, Pace};
 use crate::hash::{self, mix};
 use crate::interface::*;
 use serde::{Deserialize, Serialize};
@@ -21,11 +22,13 @@
 const CAPACITY_GUESS: f64 = 4.0;
 /// Share of the way that a learned value moves with each observation.
 const LEARN: f64 = 0.1;
-/// Seconds that a hit takes besides its sending, and the time learned paces begin with.
+/// Seconds that a hit takes besides its sending.
 const HIT_OVERHEAD: f64 = 0.03;
-const PACE_BEGINS: f64 = 0.2;
 /// Load reports count half after this, and signs of health older than this are not used.
 const REPORT_LASTS: Micros = 1_500_000;
+/// Half-life, for each gateway of a location, of own attempts at a cache by which the others' are guessed:
+/// the fewer of all a gateway sees, the longer it looks.
+const HELD_LASTS: Micros = 250_000;
 /// Load from which a hot object goes to the next cache, and multiple of its peers' from which any does.
 const HOT_SPILL: f64 = 1.5;
 const SPILL_OVER_PEERS: f64 = 2.0;
@@ -92,6 +95,8 @@
 struct Peer {
     info: Member,
     inflight: u32,
+    /// How many that is usually, lately.
+    held: Average,
     /// Requests of others that it held by its last report, and when that came.
     others: Option<(Micros, f64)>,
     capacity: f64,
@@ -156,26 +161,6 @@
     over: bool,
 }
 
-/// Smoothed times that answers took, and that they would take alone at full pace.
-#[derive(Clone, Serialize, Deserialize)]
-struct Pace {
-    took: f64,
-    alone: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace { took: PACE_BEGINS, alone: PACE_BEGINS }
-    }
-}
-
-impl Pace {
-    fn learn(&mut self, took: f64, work: f64) {
-        self.took += (took - self.took) * LEARN / 2.0;
-        self.alone += (work + HIT_OVERHEAD - self.alone) * LEARN / 2.0;
-    }
-}
-
 /// What a router has learned of objects, classes and sources. A process that takes over goes on from it.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Learned {
@@ -397,8 +382,8 @@
     }
 
     /// Transfers at a member over those that it carries at full pace, by its last report, which fades to the
-    /// usual of its peers. Where stores report nothing, a cache (parents are seldom asked) by own attempts
-    /// that are out, and as many for each other gateway here: the only early sign of a full link.
+    /// usual of its peers. Where stores report nothing, a cache (parents are seldom asked) by own attempts,
+    /// and as many as usual for each other gateway here: one attempt alone says nothing of the others'.
     fn load(&self, id: MemberId) -> f64 {
         let peer = &self.peers[&id];
         let usual = self.learned.usual_load[peer.info.role as usize];
@@ -406,8 +391,9 @@
             if peer.info.role != Role::Cache {
                 return usual;
             }
-            let out = f64::from(peer.inflight) * self.routers_of(peer.info.role);
-            return out / (peer.capacity * self.warmth(peer)).max(0.05);
+            let (own, routers) = (f64::from(peer.inflight), self.routers_of(peer.info.role));
+            let others = peer.held.at(self.now, own, self.held_lasts(peer.info.role)) * (routers - 1.0);
+            return (own + others) / (peer.capacity * self.warmth(peer)).max(0.05);
         };
         let seen = (f64::from(peer.inflight) + others) / (peer.capacity * self.warmth(peer)).max(0.05);
         usual + (seen - usual) * fade(self.now - at, REPORT_LASTS)
@@ -423,6 +409,10 @@
         f64::from(zone.map_or(self.settings.routers, |zone| zone.routers).max(1))
     }
 
+    fn held_lasts(&self, role: Role) -> Micros {
+        HELD_LASTS * self.routers_of(role) as Micros
+    }
+
     fn cold_rule(&self, role: Role) -> ColdRule {
         if role == Role::Cache { self.settings.cold_cache } else { self.settings.cold_parent }
     }
@@ -715,7 +705,7 @@
     /// holds that is sending and not waiting for fills, and by the pace of hits where that shows more.
     fn pressure(&self, load: f64) -> f64 {
         let usual = self.learned.usual_load[Role::Cache as usize].max(0.1);
-        let stretch = self.learned.hits.took / self.learned.hits.alone;
+        let stretch = self.learned.hits.stretch();
         let sending = usual * (self.learned.served.alone * stretch / self.learned.served.took).min(1.0);
         // Hits at pace tell that the usual cache is not full, where its size is but a guess.
         let known = if self.settings.weights_told { sending } else { sending.min(1.0) };
@@ -796,7 +786,9 @@
             charged = if fill.is_some_and(|fill| fill.renew) { 0.0 } else { mean };
         }
         let (load, role) = (self.load(member), self.role(member) as usize);
+        let half = self.held_lasts(self.role(member));
         let peer = self.peers.get_mut(&member).expect("listed");
+        peer.held.note(now, f64::from(peer.inflight), half);
         if peer.others.is_none() && peer.info.role == Role::Cache {
             self.learned.usual_load[role] += (load - self.learned.usual_load[role]) * LEARN / 2.0;
         }
@@ -824,7 +816,7 @@
     fn last_in_time(&self, open: &Open) -> Option<Micros> {
         let class = &self.settings.classes[open.class];
         let repeatable = class.effect == Effect::Repeatable && !class.uncacheable;
-        let stretch = self.learned.hits.took / self.learned.hits.alone;
+        let stretch = self.learned.hits.stretch();
         let spared = self.spared(open) + (1.0 - stretch) * open.work - HIT_OVERHEAD;
         let allowed = self.settings.second_copies && repeatable && open.attempts.is_empty() && spared > 0.0;
         allowed.then_some(self.now + (spared * 1e6) as Micros)
@@ -845,9 +837,12 @@
         let attempts = &mut self.open.get_mut(&id)?.attempts;
         let attempt = attempts.get_mut(nr as usize).filter(|attempt| attempt.ended.is_none())?;
         end(attempt);
+        let attempt = attempt.clone();
+        let half = self.held_lasts(self.peers.get(&attempt.member)?.info.role);
         let peer = self.peers.get_mut(&attempt.member)?;
+        peer.held.note(self.now, f64::from(peer.inflight), half);
         peer.inflight = peer.inflight.saturating_sub(1);
-        Some(attempt.clone())
+        Some(attempt)
     }
 
     fn learn(&mut self, id: RequestId, attempt: &Attempt) {
@@ -914,14 +909,15 @@
 
     fn learn_pace(&mut self, id: RequestId, attempt: &Attempt) {
         let (work, rank, hit) = (self.open[&id].work, self.open[&id].rank, attempt.detail.hit());
-        self.learned.served.learn(attempt.took, work);
+        let alone = work + HIT_OVERHEAD;
+        self.learned.served.learn(attempt.took, alone, LEARN / 2.0);
         let share = &mut self.learned.misses[usize::from(rank)];
         *share += (f64::from(u8::from(!hit)) - *share) * LEARN / 4.0;
         if !hit {
             self.learned.fill_extra +=
                 ((attempt.took - work).clamp(0.0, 3.0) - self.learned.fill_extra) * LEARN;
         } else if self.role(attempt.member) == Role::Cache {
-            self.learned.hits.learn(attempt.took, work);
+            self.learned.hits.learn(attempt.took, alone, LEARN / 2.0);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 //! assert!(!actions.is_empty());
 //! ```
 
+mod average;
 mod brain;
 pub mod broker;
 pub mod commands;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -189,7 +189,16 @@
                     let member = events::member(line, &deployment.names, self.clock.at(line.started_at_ms));
                     let gone = member.state == MemberState::Gone;
                     self.stores.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
-                    log::info!("{} is {}", line.instance_id, line.lifecycle);
+                    log::info!(
+                        "{} is {}: {} in {}, weight {}, cell {}, started {}",
+                        line.instance_id,
+                        line.lifecycle,
+                        line.machine_type,
+                        line.zone,
+                        line.weight,
+                        line.cell,
+                        line.started_at_ms,
+                    );
                     members.push(member);
                 }
                 self.broker().members(self.clock.now(), kind, members);
@@ -221,6 +230,17 @@
                     if std::mem::take(&mut settles) {
                         may::coroutine::sleep(SETTLES);
                     }
+                    let fill = order.fill.unwrap_or_default();
+                    log::debug!(
+                        "{:016x} attempt {} to {:08x} from {:08x}, keep {}, held only {}, for {} ms",
+                        order.request.0,
+                        order.attempt,
+                        order.member.0,
+                        source_of(&order),
+                        fill.keep,
+                        fill.held_only,
+                        order.timeout / 1_000,
+                    );
                     let ticket = match work {
                         Work::Pull(pull) => self.stores.pull(&order, pull, mailbox.clone()),
                         Work::Check => self.stores.echo(&order, mailbox.clone()),
@@ -236,12 +256,12 @@
                     // A timer decided: the attempt that is still out is given up before another goes out.
                     Ok(Note::Verdict(next)) => {
                         settles = out.take().is_some_and(|(order, ticket)| {
-                            let source = order.fill.and_then(|fill| fill.source).map_or(0, |source| source.0);
                             log::debug!(
-                                "{:016x} attempt {} at {:08x} from {source:08x}: given up",
+                                "{:016x} attempt {} at {:08x} from {:08x}: given up",
                                 order.request.0,
                                 order.attempt,
                                 order.member.0,
+                                source_of(&order),
                             );
                             ticket.kill(true)
                         });
@@ -280,10 +300,11 @@
         };
         let how = Ended { outcome, detail: reply.detail, load: reply.load() };
         log::debug!(
-            "{:016x} attempt {} at {:08x}: {outcome:?} {:?} after {} ms for {}",
+            "{:016x} attempt {} at {:08x} from {:08x}: {outcome:?} {:?} after {} ms for {}",
             order.request.0,
             order.attempt,
             order.member.0,
+            source_of(order),
             how.detail,
             now.saturating_sub(order.picked) / 1_000,
             order.caller.tenant,
@@ -320,7 +341,18 @@
         if let Some(watch) = watch {
             lock(&self.watched).insert(watch, mailbox.clone());
         }
+        let id = request.id;
+        log::debug!(
+            "{:016x} asks for {} part {} of class {:?}, {} KB, within {} ms",
+            id.0,
+            request.object,
+            request.part,
+            request.class,
+            request.size_kb,
+            request.budget / 1_000,
+        );
         let end = self.run(request, caller, work, client, &mailbox, &notes);
+        log::debug!("{:016x} ends: {}", id.0, end.label());
         if let Some(watch) = watch {
             lock(&self.watched).remove(&watch);
         }
@@ -365,6 +397,11 @@
     }
 }
 
+/// The source of an attempt's fill, as the log names it; 0: none.
+fn source_of(order: &Order) -> u32 {
+    order.fill.and_then(|fill| fill.source).map_or(0, |source| source.0)
+}
+
 /// What the settings say of connections to stores, and the descriptors for them.
 fn limits(told: Connections, sockets: usize) -> Limits {
     Limits {
