A next attempt waits for the way of the KILL before it: no duplicate from afar

Cause: after a KILL the next attempt goes out by another connection, 10 ms later (SETTLES in net/core.rs). The origin is up to 28 ms away and two hubs off 44 ms more, so with the network's spread the new attempt can overtake the KILL. At three gateways it needs a rare chance; at a hundred it comes about.

Change: the pause is as long as the killed attempt's connection took to come up, which is the way there and back at least, 10 to 100 ms. It no longer sleeps through a verdict: what a timer decides meanwhile holds, and is answered at once.

Tests: the pause by the way, and that a later verdict ends it; both fail without the change.

--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -18,11 +18,8 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// A KILL, or the end of a connection, is on its way this long at most before the next attempt goes out by
-/// another one: from afar it would arrive behind that, and two attempts would be out at once.
-const SETTLES: Duration = Duration::from_millis(10);
 /// A drained gateway closes what is idle after this, and what has not asked for anything after that: 4 s
 /// after the drain's begin no client may hold a connection with a request of the 2 s before.
 const DRAINED_IDLE: Duration = Duration::from_millis(1_000);
@@ -222,13 +219,15 @@
     ) -> Final {
         let id = request.id;
         let mut verdict = self.broker().pick(self.clock.now(), request, caller.clone(), mailbox.clone());
-        let mut settles = false;
+        let mut settled = Instant::now();
         loop {
             let mut out = None;
             match verdict.take() {
                 Some(Verdict::Attempt(order)) => {
-                    if std::mem::take(&mut settles) {
-                        may::coroutine::sleep(SETTLES);
+                    // Before it is sent, a timer may decide otherwise.
+                    verdict = overtaken(settled, notes);
+                    if verdict.is_some() {
+                        continue;
                     }
                     let fill = order.fill.unwrap_or_default();
                     log::debug!(
@@ -255,7 +254,7 @@
                 match notes.recv() {
                     // A timer decided: the attempt that is still out is given up before another goes out.
                     Ok(Note::Verdict(next)) => {
-                        settles = out.take().is_some_and(|(order, ticket)| {
+                        if let Some((order, ticket)) = out.take() {
                             log::debug!(
                                 "{:016x} attempt {} at {:08x} from {:08x}: given up",
                                 order.request.0,
@@ -263,15 +262,20 @@
                                 order.member.0,
                                 source_of(&order),
                             );
-                            ticket.kill(true)
-                        });
+                            let settles = ticket.settles();
+                            if ticket.kill(true) {
+                                settled = Instant::now() + settles;
+                            }
+                        }
                         verdict = Some(next);
                     }
                     Ok(Note::Reply { attempt, reply }) => {
-                        let Some((order, _)) = out.take_if(|(order, _)| order.attempt == attempt) else {
+                        let Some((order, ticket)) = out.take_if(|(order, _)| order.attempt == attempt) else {
                             continue;
                         };
-                        settles = reply.end == End::Reset;
+                        if reply.end == End::Reset {
+                            settled = Instant::now() + ticket.settles();
+                        }
                         match self.ended(&order, work, &reply) {
                             Next::Done if reply.end == End::Yes => return Final::Checked(order),
                             Next::Done => return Final::Served(reply),
@@ -397,6 +401,20 @@
     }
 }
 
+/// Waits until what was given up is sure to be known at its store, or until a later verdict comes.
+fn overtaken(settled: Instant, notes: &mpsc::Receiver<Note>) -> Option<Verdict> {
+    loop {
+        let left = settled.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return None;
+        }
+        // Old replies are of no interest any more, and looks for the client come again.
+        if let Ok(Note::Verdict(next)) = notes.recv_timeout(left) {
+            return Some(next);
+        }
+    }
+}
+
 /// The source of an attempt's fill, as the log names it; 0: none.
 fn source_of(order: &Order) -> u32 {
     order.fill.and_then(|fill| fill.source).map_or(0, |source| source.0)
@@ -431,6 +449,19 @@
     use super::*;
     use rstest::rstest;
 
+    #[test]
+    fn an_attempt_waits_for_the_kill_before_it_but_not_for_a_later_verdict() {
+        let (mail, notes) = mpsc::channel();
+        let began = Instant::now();
+        mail.send(Note::Look).unwrap();
+        assert_eq!(overtaken(began + Duration::from_millis(40), &notes), None);
+        assert!(began.elapsed() >= Duration::from_millis(40));
+        mail.send(Note::Verdict(Verdict::Failed)).unwrap();
+        let late = Instant::now() + Duration::from_secs(60);
+        assert_eq!(overtaken(late, &notes), Some(Verdict::Failed));
+        assert_eq!(overtaken(began, &notes), None, "what has settled waits for nothing");
+    }
+
     /// Of 384 descriptors 153 are for clients and 128 for stores, however two processes share them.
     #[rstest]
     #[case::alone(Held { clients: 0, stores: 0 }, 128, 0)]
--- a/src/net/store.rs
+++ b/src/net/store.rs
@@ -37,6 +37,9 @@
 const PIECE: usize = 16 * 1024;
 /// Answers come whole: one whose bytes stop for this long will not be finished.
 const STALLED: Duration = Duration::from_millis(300);
+/// Bounds of how long a KILL may be on its way: a handshake may take longer than the way there and back.
+const SETTLES_LEAST: Duration = Duration::from_millis(10);
+const SETTLES_MOST: Duration = Duration::from_millis(100);
 /// How often a writer looks for room in a connection's buffer.
 const ROOM: Duration = Duration::from_millis(2);
 
@@ -302,6 +305,8 @@
     used: Instant,
     heard: Instant,
     midway: bool,
+    /// How long it took to come up: there and back once at least.
+    way: Duration,
     /// Its socket, once it is up. Reader and writer share the one descriptor.
     stream: Option<Arc<TcpStream>>,
 }
@@ -378,6 +383,13 @@
 }
 
 impl<A: Answered> Ticket<A> {
+    /// How long a KILL, or the end of the connection, may be on its way to the store. What goes out by another
+    /// connection before that could overtake it, and two attempts would be out at once.
+    pub fn settles(&self) -> Duration {
+        let way = self.conn.as_ref().map_or(Duration::ZERO, |conn| lock(&conn.state).way);
+        way.clamp(SETTLES_LEAST, SETTLES_MOST)
+    }
+
     /// Gives the attempt up, and says whether it had been sent. `silent`: it was waited for in vain; a
     /// connection that has said nothing since may lead to a machine that is gone, so new requests open
     /// another one.
@@ -520,6 +532,7 @@
             used: now,
             heard: now,
             midway: false,
+            way: Duration::ZERO,
             stream: None,
         };
         let conn = Arc::new(Conn { queue, state: Mutex::new(state) });
@@ -541,6 +554,7 @@
             stream.set_nodelay(true)?;
             Ok(Arc::new(stream))
         };
+        let began = Instant::now();
         let stream = match open() {
             Ok(stream) => stream,
             Err(e) => {
@@ -551,6 +565,7 @@
         {
             let mut state = lock(&conn.state);
             (state.heard, state.stream) = (Instant::now(), Some(stream.clone()));
+            state.way = began.elapsed();
         }
         let (ours, reader) = (conn.clone(), stream.clone());
         super::spawn(move || {
@@ -742,6 +757,33 @@
         assert_eq!(String::from_utf8(bytes).unwrap(), line);
     }
 
+    /// From afar a KILL takes longer: the next attempt waits as long as the connection took to come up.
+    #[rstest]
+    #[case::near(1, 10)]
+    #[case::afar(73, 73)]
+    #[case::syn_lost(1_000, 100)]
+    fn the_next_attempt_waits_for_the_way_of_the_kill(#[case] way: u64, #[case] settles: u64) {
+        #[derive(Clone)]
+        struct Nobody;
+        impl Answered for Nobody {
+            fn reply(&self, _: u32, _: Reply) {}
+        }
+        let now = Instant::now();
+        let state = ConnState::<Nobody> {
+            pending: HashMap::new(),
+            ended: VecDeque::new(),
+            retired: false,
+            used: now,
+            heard: now,
+            midway: false,
+            way: Duration::from_millis(way),
+            stream: None,
+        };
+        let conn = Arc::new(Conn { queue: mpsc::channel().0, state: Mutex::new(state) });
+        let ticket = Ticket { conn: Some(conn), id: 1, sent: now };
+        assert_eq!(ticket.settles(), Duration::from_millis(settles));
+    }
+
     #[rstest]
     #[case(End::Unreachable, true)]
     #[case(End::Nothing, true)]
