--- a/src/brain.rs
+++ b/src/brain.rs
@@ -143,6 +143,10 @@
     fn found_nothing(&self) -> bool {
         self.looked && self.ended == Some(Outcome::Miss)
     }
+
+    fn in_vain(&self) -> bool {
+        self.detail == Detail::OriginFailed || (self.found_nothing() && self.source.is_some())
+    }
 }
 
 #[derive(Default)]
@@ -177,8 +181,7 @@
     served: Pace,
     /// Seconds that a fill takes longer than its sending.
     fill_extra: f64,
-    /// Wait of fills over what their requests could spare, smoothed: over 1 most come too late; of all, and
-    /// of those that a source held.
+    /// Wait of fills over what their requests could spare: of all, and of those that a source held.
     fill_wait: [f64; 2],
     tells_origin: bool,
     /// Share of requests whose first answer did not come in time or at all.
@@ -211,9 +214,8 @@
 
 type Actions<'a> = &'a mut Vec<Action>;
 
-/// Share of misses that is held back for the wait of fills. Where they come late, a look tells hits from
-/// misses: hits are served as ever; of misses a part is given only what a source holds, or nothing where
-/// that comes late as well. Covers a full link in, full fill places, slow parents and a slow origin.
+/// Share of misses held back for the wait of fills: of them a part is given only what a source holds, or
+/// nothing where that is late too. Covers a full link in, full fill places, slow parents and a slow origin.
 fn held_back(wait: f64) -> f64 {
     ((wait - MISS_SHED_FROM) / (MISS_SHED_ALL - MISS_SHED_FROM)).min(MISS_SHED_MOST)
 }
@@ -572,10 +574,10 @@
                 last.ended == Some(Outcome::Unreachable) || (last.broken() && last.took <= BROKE_AT_ONCE);
             !(quick || (last.found_nothing() && last.source.is_none()))
         });
-        // A source that was asked for what it holds lacked it: what it would have to fetch is held back.
-        // What several members in turn could not use, or broke off at, is no better elsewhere.
+        // What the source would have to fetch is held back, or the origin has failed it: asked again it
+        // fails the more. What several members in turn could not use is no better elsewhere.
         let useless = open.attempts.iter().filter(|it| it.broken()).count() >= MOST_BROKEN;
-        let hopeless = useless || last.is_some_and(|last| last.found_nothing() && last.source.is_some());
+        let hopeless = useless || last.is_some_and(Attempt::in_vain);
         if !self.may_send_again(open) || hopeless || (costly && self.retries < 1.0) {
             return self.give_up(id, actions);
         }
@@ -694,8 +696,7 @@
         self.worths.share_below(self.worth_for_work(open))
     }
 
-    /// Overload: the fuller the cache, the larger the part of requests that is refused, least worth for the
-    /// work first. Covers any shortage of a cache's link.
+    /// Overload: the fuller the cache, the larger the part that is refused, least worth for the work first.
     fn shed(&self, open: &Open, load: f64) -> bool {
         let part = (self.pressure(load) - SHED_FROM) / (SHED_ALL - SHED_FROM);
         part > 0.0 && self.worth_below(open) < part
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -133,3 +133,15 @@
     let again = sent(&bench.after(SECOND).ended(1, 0, Outcome::TimedOut, Detail::Untold)).unwrap();
     assert_ne!(again.source(), first.source());
 }
+
+/// An origin that fails one parent's fill fails the others' as well, the more so as all gateways ask on.
+#[test]
+fn what_the_origin_has_failed_is_not_asked_for_by_other_ways() {
+    let mut bench = Bench::new();
+    bench.ask(1, "a");
+    let next = bench.after(100 * MS).ended(1, 0, Outcome::Full, Detail::OriginFailed);
+    assert!(refused(&next) && sent(&next).is_none(), "{next:?}");
+    // A parent that is full says nothing of the others.
+    bench.ask(2, "b");
+    assert!(sent(&bench.after(100 * MS).ended(2, 0, Outcome::Full, Detail::SourceRefused)).is_some());
+}
