--- a/src/brain.rs
+++ b/src/brain.rs
@@ -903,6 +903,8 @@
             self.fill_seen[of] = self.now;
         }
         let Some(source) = attempt.source.filter(|_| attempt.ended != Some(Outcome::Full)) else { return };
+        // A time-out tells that a fill takes as long at least: else quick fills alone would shorten patience.
+        self.learned.fill_extra += (waited.clamp(0.0, 3.0) - self.learned.fill_extra) * LEARN * weight;
         let (now, before) = (self.now, self.wait(source));
         let seen = self.peers.get(&source).map_or(0, |peer| peer.wait.0);
         let step = self.step(LEARN * 2.0, seen) * weight;
@@ -917,10 +919,7 @@
         self.learned.served.learn(attempt.took, alone, LEARN / 2.0);
         let share = &mut self.learned.misses[usize::from(rank)];
         *share += (f64::from(u8::from(!hit)) - *share) * LEARN / 4.0;
-        if !hit {
-            self.learned.fill_extra +=
-                ((attempt.took - work).clamp(0.0, 3.0) - self.learned.fill_extra) * LEARN;
-        } else if self.role(attempt.member) == Role::Cache {
+        if hit && self.role(attempt.member) == Role::Cache {
             self.learned.hits.learn(attempt.took, alone, LEARN / 2.0);
         }
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -145,3 +145,33 @@
     bench.ask(2, "b");
     assert!(sent(&bench.after(100 * MS).ended(2, 0, Outcome::Full, Detail::SourceRefused)).is_some());
 }
+
+/// Fills that are cut tell nobody how long they would have taken. Were patience learned from what is served alone, a
+/// slow origin would have every fill cut short at every gateway, and never get well.
+#[test]
+fn patience_grows_with_time_outs() {
+    let mut bench = Bench::new();
+    for id in 0..100 {
+        bench.after(100 * MS).ask(id, &format!("quick{id}"));
+        bench.answer(id, 0, Outcome::Served, Detail::Filled, 60 * MS, Load::default());
+    }
+    let first = sent(&bench.ask(1_000, "slow")).unwrap().timeout;
+    let mut last = first;
+    for id in 1_001..1_040 {
+        let object = format!("slow{id}");
+        let Some(sent) = sent(&bench.after(100 * MS).ask(id, &object)) else { continue };
+        // Where fills are slow it looks first; then the fill is cut.
+        let fill = sent.fill.expect("a fill").source.is_some_and(|source| source.0 != sent.member);
+        let (nr, timeout) = if fill {
+            (0, sent.timeout)
+        } else {
+            let next = bench.answer(id, 0, Outcome::Miss, Detail::Untold, MS, Load::default());
+            let Some(sent) = common::sent(&next) else { continue };
+            (1, sent.timeout)
+        };
+        last = timeout;
+        bench.answer(id, nr, Outcome::TimedOut, Detail::Untold, timeout, Load::default());
+        bench.event(Event::Abandoned { request: RequestId(id) });
+    }
+    assert!(last * 4 >= first * 5, "{first} us at first, {last} us after time-outs");
+}
