Fills from other caches of the location, and misses held back by what is out now

The hold on misses rose from 0.5 to 2.0 of what requests can spare, so that holding half back needed fills that all come late, and it learned from ended fills alone. Changed: a cache that is new, or that an object spilled to, is first filled by the cache that had it, of what that holds; misses are held back from 0.4 to 1.0, to 0.95; what fills that are out have waited counts.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,10 +5,11 @@
 //! ask the first cache, name the first parent as source, keep the copy at a rank set by the count.
 //! Everything else is an exception with a comment that names the trouble it guards against.
 
-use crate::average::{Average, Pace, Recent, lower_median};
+use crate::average::{Pace, Recent, lower_median};
 use crate::counts::Counts;
 use crate::hash::{self, mix};
 use crate::interface::*;
+use crate::state::{Attempt, Open, Peer};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -34,15 +35,20 @@
 /// Load from which a hot object goes to the next cache, and multiple of its peers' from which any does.
 const HOT_SPILL: f64 = 1.5;
 const OVER_PEERS: f64 = 2.0;
+/// Load up to which another cache of the location is asked to fill.
+const SIBLING_UP_TO: f64 = 3.0;
 /// Pressure at a cache from which requests of least worth for their work are refused, rising to all of them.
 const SHED_FROM: f64 = 1.2;
 const SHED_ALL: f64 = 2.5;
 /// Pace of hits from which it counts as a sign of full links, whatever is told of their sizes.
 const STRETCH_SEEN: f64 = 1.25;
-/// Wait of fills over what their requests can spare from which misses are held back, to all, but never more.
-const MISS_SHED_FROM: f64 = 0.5;
-const MISS_SHED_ALL: f64 = 2.0;
-const MISS_SHED_MOST: f64 = 0.8;
+/// Wait of fills over what their requests can spare from which misses are held back, to all (fills that wait
+/// for all of it come late), but never more.
+const MISS_SHED_FROM: f64 = 0.4;
+const MISS_SHED_ALL: f64 = 1.0;
+const MISS_SHED_MOST: f64 = 0.95;
+/// Fills that must be out for what they have waited so far to count.
+const FILLS_TELL: f64 = 3.0;
 /// A failed fill counts as this multiple of what its request could spare, and none as more.
 const FAILED_WAIT: f64 = 3.0;
 /// A parent is slow whose fills wait longer than the multiple of its peers' and this many seconds.
@@ -83,89 +89,6 @@
 /// Kept between the last moment for an answer or an effect and the action, in ticks.
 const TICKS_SPARE: Micros = 2;
 
-#[derive(Clone, Copy, Default)]
-struct Health {
-    /// Share of failures among the latest answers.
-    failing: f64,
-    ejections: u32,
-    out_until: Option<Micros>,
-    trial_out: bool,
-}
-
-#[derive(Default)]
-struct Peer {
-    info: Member,
-    inflight: u32,
-    /// How many that is usually, lately.
-    held: Average,
-    /// Requests of others that it held by its last report, and when that came.
-    others: Option<(Micros, f64)>,
-    capacity: f64,
-    /// Seconds that its fills waited lately, and when that was seen.
-    wait: (Micros, f64),
-    gone: Option<Micros>,
-    /// When it last gave a good answer.
-    answered: Option<Micros>,
-    /// When it was last struck for a broken attempt.
-    reset: Option<Micros>,
-    health: Health,
-    /// Seconds of sending time left of its cold budget, and when that was reckoned.
-    budget: Option<(f64, Micros)>,
-}
-
-#[derive(Clone, Default)]
-struct Attempt {
-    member: MemberId,
-    source: Option<MemberId>,
-    /// Sending time charged to a cold source; given back when the source was not asked.
-    charged: f64,
-    /// No fetch was asked for: a miss says that nobody asked holds it.
-    looked: bool,
-    likely: f64,
-    sent: Micros,
-    again_at: Option<Micros>,
-    ended: Option<Outcome>,
-    detail: Detail,
-    took: f64,
-}
-
-impl Attempt {
-    /// One that is still out may have run too.
-    fn may_have_run(&self) -> bool {
-        self.ended.is_none_or(Outcome::may_have_run)
-    }
-
-    /// An error, or a connection that broke with the attempt out.
-    fn broken(&self) -> bool {
-        matches!(self.ended, Some(Outcome::Failed | Outcome::Reset))
-    }
-
-    fn found_nothing(&self) -> bool {
-        self.looked && self.ended == Some(Outcome::Miss)
-    }
-
-    fn in_vain(&self) -> bool {
-        self.detail == Detail::OriginFailed || (self.found_nothing() && self.source.is_some())
-    }
-}
-
-#[derive(Default)]
-struct Open {
-    asked: Request,
-    class: usize,
-    key: u64,
-    object: u64,
-    rank: u8,
-    work: f64,
-    deadline: Micros,
-    attempts: Vec<Attempt>,
-    bad_sources: Vec<MemberId>,
-    /// Who was struck for this request's first broken attempts, what was held of its health, and when.
-    struck: Vec<(MemberId, Health, Micros)>,
-    paused_until: Option<Micros>,
-    over: bool,
-}
-
 /// What a router has learned of objects, classes and sources. A process that takes over goes on from it.
 #[derive(Clone, Default, Serialize, Deserialize)]
 pub struct Learned {
@@ -572,7 +495,7 @@
         let costly = last.is_some_and(|last| {
             let quick =
                 last.ended == Some(Outcome::Unreachable) || (last.broken() && last.took <= BROKE_AT_ONCE);
-            !(quick || (last.found_nothing() && last.source.is_none()))
+            !(quick || (last.found_nothing() && (last.source.is_none() || last.aside)))
         });
         // What the source would have to fetch is held back, or the origin has failed it: asked again it
         // fails the more. What several members in turn could not use is no better elsewhere.
@@ -667,14 +590,16 @@
         };
         let open = &self.open[&id];
         // What sources held cannot come later than all: else its memory would outlast the trouble.
-        let [all, of_held] = self.learned.fill_wait;
+        let [learned, of_held] = self.learned.fill_wait;
+        let all = learned.max(self.waiting_now());
         let (fetches, fills) = (held_back(all), held_back(all.min(of_held)));
         let slow = fetches > 0.0;
         if self.shed(open, self.load(cache)) {
             return self.give_up(id, actions);
         }
-        if slow && open.attempts.is_empty() {
-            return self.fill_at(id, cache, None, false, actions);
+        let sibling = self.pick_sibling(open, cache);
+        if open.attempts.is_empty() && (slow || sibling.is_some()) {
+            return self.fill_at(id, cache, sibling, sibling.is_some(), actions);
         }
         let missed = slow && open.attempts.last().is_some_and(Attempt::found_nothing);
         let worth = self.worth_below(open);
@@ -685,6 +610,20 @@
         self.fill_at(id, cache, source, missed && parent && worth < fetches, actions);
     }
 
+    /// What fills that are out now have waited, over what their requests can spare, on average: it tells of a
+    /// full link before the first of them has ended. Of one or two alone it tells nothing.
+    fn waiting_now(&self) -> f64 {
+        let last = self.open.values().filter_map(|open| Some((open, open.attempts.last()?)));
+        let fills = last.filter(|(_, it)| it.ended.is_none() && it.source.is_some() && !it.aside);
+        let (mut sum, mut count) = (0.0, 0.0);
+        for (open, it) in fills {
+            let waited = seconds(self.now - it.sent) - open.work;
+            sum += it.likely * (waited / self.spared(open)).clamp(0.0, FAILED_WAIT);
+            count += it.likely;
+        }
+        if count < FILLS_TELL { 0.0 } else { sum / count }
+    }
+
     /// Worth for each second that the request is likely to hold a place at the cache: its sending time,
     /// and the wait for its fill if it misses. When sources are slow, likely misses weigh little.
     fn worth_for_work(&self, open: &Open) -> f64 {
@@ -754,6 +693,19 @@
         caches.iter().find(|id| self.load(**id) < bound).or(caches.first()).copied()
     }
 
+    /// Another cache of the location that is likely to hold the object: the one it spilled from, or the one
+    /// that served it before this one came. A fill from there spares the location's link, which is short
+    /// when a release empties caches.
+    fn pick_sibling(&self, open: &Open, cache: MemberId) -> Option<MemberId> {
+        let order = self.ordered(Role::Cache, open.key);
+        let started = self.peers[&cache].info.started;
+        let new = started.is_some_and(|at| self.now < at + 2 * self.settings.cold_cache.warm_up);
+        let may_hold = self.settings.siblings && (new || order.first() != Some(&cache));
+        let warm = |id: &MemberId| *id != cache && self.warmth(&self.peers[id]) >= 1.0;
+        let other = order.into_iter().find(warm).filter(|_| may_hold)?;
+        (self.healthy(other) && self.load(other) < SIBLING_UP_TO).then_some(other)
+    }
+
     /// The first parent in hash order, over all parents; with none that will do, the origin fills.
     fn pick_source(&mut self, id: RequestId) -> Option<MemberId> {
         let open = &self.open[&id];
@@ -775,6 +727,7 @@
         let (mean, now) = (self.learned.mean_work[open.class].0, self.now);
         let source = fill.and_then(|fill| fill.source);
         let looked = source.is_none_or(|source| source == member) || fill.is_some_and(|fill| fill.held_only);
+        let aside = source.is_some_and(|source| source != member && self.role(source) == Role::Cache);
         let known =
             self.role(member) == Role::Parent || open.attempts.last().is_some_and(Attempt::found_nothing);
         let likely = if known { 1.0 } else { self.learned.misses[usize::from(open.rank)] };
@@ -798,8 +751,8 @@
         peer.health.trial_out |= peer.health.out_until.is_some();
         // A check asks no source: what it costs the source is charged, but nothing said of it.
         let source = source.filter(|_| !self.open[&id].asked.by_name);
-        let attempt =
-            Attempt { member, source, charged, looked, likely, sent: now, again_at, ..Attempt::default() };
+        let fresh = Attempt { member, source, charged, sent: now, again_at, ..Attempt::default() };
+        let attempt = Attempt { looked, aside, likely, ..fresh };
         if let Some(at) = again_at {
             actions.push(Action::SetTimer { timer: TimerId(id.0), after: at - now });
         }
@@ -888,6 +841,10 @@
             let missing = late || (first && !filled);
             self.learned.lost += (f64::from(u8::from(missing)) - self.learned.lost) * LEARN / 2.0;
         }
+        // What another cache here gave, or failed to, tells nothing of the parents and the link.
+        if attempt.aside {
+            return;
+        }
         let failed = attempt.source.is_some() && (late || attempt.ended == Some(Outcome::Full));
         if !filled && !failed {
             return;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,6 +133,8 @@
     pub straight: bool,
     /// Caches let a request join a fill under way.
     pub joins: bool,
+    /// Other caches of the location may be sources of fills, of what they hold.
+    pub siblings: bool,
     pub cold_cache: ColdRule,
     pub cold_parent: ColdRule,
     /// All copies older than a purge are gone after this.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,6 +60,7 @@
 pub mod metrics;
 pub mod net;
 pub mod settings;
+mod state;
 #[doc(hidden)]
 pub mod wire;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -56,6 +56,7 @@
     parent_limit_factor: f64,
     pass_on: Vec<bool>,
     purge_takes: Micros,
+    sideways: String,
     source_kind: Option<i64>,
     straight: bool,
     upper_cold_from: f64,
@@ -212,6 +213,7 @@
         max_backoff: env.limits.retry_after.then_some(env.limits.max_retry_after),
         straight: info.straight,
         joins: info.collapses,
+        siblings: matches!(info.sideways.as_str(), "location" | "any"),
         cold_cache: ColdRule {
             floor: rules.start_capacity,
             warm_up: rules.warm_up,
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,89 @@
+//! What the router holds of each member and of each request while it is open. Decides nothing.
+
+use crate::average::Average;
+use crate::interface::*;
+
+#[derive(Clone, Copy, Default)]
+pub struct Health {
+    /// Share of failures among the latest answers.
+    pub failing: f64,
+    pub ejections: u32,
+    pub out_until: Option<Micros>,
+    pub trial_out: bool,
+}
+
+#[derive(Default)]
+pub struct Peer {
+    pub info: Member,
+    pub inflight: u32,
+    /// How many that is usually, lately.
+    pub held: Average,
+    /// Requests of others that it held by its last report, and when that came.
+    pub others: Option<(Micros, f64)>,
+    pub capacity: f64,
+    /// Seconds that its fills waited lately, and when that was seen.
+    pub wait: (Micros, f64),
+    pub gone: Option<Micros>,
+    /// When it last gave a good answer.
+    pub answered: Option<Micros>,
+    /// When it was last struck for a broken attempt.
+    pub reset: Option<Micros>,
+    pub health: Health,
+    /// Seconds of sending time left of its cold budget, and when that was reckoned.
+    pub budget: Option<(f64, Micros)>,
+}
+
+#[derive(Clone, Default)]
+pub struct Attempt {
+    pub member: MemberId,
+    pub source: Option<MemberId>,
+    /// Sending time charged to a cold source; given back when the source was not asked.
+    pub charged: f64,
+    /// No fetch was asked for: a miss says that nobody asked holds it.
+    pub looked: bool,
+    /// The source is another cache of the location, which gives only what it holds.
+    pub aside: bool,
+    pub likely: f64,
+    pub sent: Micros,
+    pub again_at: Option<Micros>,
+    pub ended: Option<Outcome>,
+    pub detail: Detail,
+    pub took: f64,
+}
+
+impl Attempt {
+    /// One that is still out may have run too.
+    pub fn may_have_run(&self) -> bool {
+        self.ended.is_none_or(Outcome::may_have_run)
+    }
+
+    /// An error, or a connection that broke with the attempt out.
+    pub fn broken(&self) -> bool {
+        matches!(self.ended, Some(Outcome::Failed | Outcome::Reset))
+    }
+
+    pub fn found_nothing(&self) -> bool {
+        self.looked && self.ended == Some(Outcome::Miss)
+    }
+
+    pub fn in_vain(&self) -> bool {
+        self.detail == Detail::OriginFailed || (self.found_nothing() && self.source.is_some() && !self.aside)
+    }
+}
+
+#[derive(Default)]
+pub struct Open {
+    pub asked: Request,
+    pub class: usize,
+    pub key: u64,
+    pub object: u64,
+    pub rank: u8,
+    pub work: f64,
+    pub deadline: Micros,
+    pub attempts: Vec<Attempt>,
+    pub bad_sources: Vec<MemberId>,
+    /// Who was struck for this request's first broken attempts, what was held of its health, and when.
+    pub struck: Vec<(MemberId, Health, Micros)>,
+    pub paused_until: Option<Micros>,
+    pub over: bool,
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -41,6 +41,7 @@
         max_backoff: Some(SECOND),
         straight: true,
         joins: true,
+        siblings: false,
         cold_cache: ColdRule { floor: 0.2, warm_up: 10 * SECOND, multiple: 2.5, window: 2 * SECOND },
         cold_parent: ColdRule { floor: 0.1, warm_up: 20 * SECOND, multiple: 2.0, window: 2 * SECOND },
         purge_takes: 6 * SECOND,
