Two attempts of a request may be out at once where the settings allow second copies

Seen: a new test with a stand-in cache whose first answer comes after the second copy went out got 503. The broker held one attempt of a request as out (src/broker.rs, Entry::out): a second copy took its place, the first one's answer was passed over, the module never heard of its end and counted it as held by its member for ever; and the front (src/net/core.rs, run) withdrew the first as the second verdict came. Changed: the broker holds all that are out and tells the front by number which attempt's time is over; the front withdraws that one alone, and the rest at the request's end; what is out when a request ends is told to the module as called off. Tests on the broker and on sockets fail without it (503, and the leak).

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -70,6 +70,9 @@
 /// Who waits for a verdict that a timer brings.
 pub trait Waiter {
     fn deliver(&self, verdict: Verdict);
+    /// The time of this attempt is over: it is to be withdrawn from its store. Others of the request that are
+    /// out go on.
+    fn give_up(&self, attempt: u32);
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -89,11 +92,18 @@
     /// Forgotten with the request.
     caller: Arc<Caller>,
     attempts: u32,
-    out: Option<Out>,
+    /// One, or two where the settings allow second copies.
+    out: Vec<Out>,
     object: String,
     group: Option<u64>,
 }
 
+impl<W> Entry<W> {
+    fn place(&self, attempt: u32) -> Option<usize> {
+        self.out.iter().position(|out| out.attempt == attempt)
+    }
+}
+
 struct Purge {
     told: Micros,
     object: Option<String>,
@@ -183,9 +193,9 @@
             return Some(Verdict::Failed);
         }
         let (object, group) = (request.object.clone(), request.purge_group);
-        self.open.insert(id, Entry { waiter, caller, attempts: 0, out: None, object, group });
+        self.open.insert(id, Entry { waiter, caller, attempts: 0, out: Vec::new(), object, group });
         let verdict = self.drive(now, Event::Request(request));
-        self.settle(id, verdict.as_ref());
+        self.settle(now, id, verdict.as_ref());
         verdict
     }
 
@@ -193,7 +203,7 @@
     pub fn report(&mut self, now: Micros, id: RequestId, attempt: u32, how: impl Into<Ended>) -> Next {
         let next = self.ended(now, id, attempt, how.into());
         if let Next::Verdict(verdict) = &next {
-            self.settle(id, Some(verdict));
+            self.settle(now, id, Some(verdict));
         }
         next
     }
@@ -209,7 +219,7 @@
     pub fn abandon(&mut self, now: Micros, id: RequestId) {
         if self.open.contains_key(&id) {
             self.drive(now, Event::Abandoned { request: id });
-            self.open.remove(&id);
+            self.forget(now, id);
         }
     }
 
@@ -223,13 +233,15 @@
                     (id, self.drive(now, Event::Timer(TimerId(timer))))
                 }
                 Due::Attempt(id, attempt) => {
+                    let entry = self.open.get(&id).filter(|entry| entry.place(attempt).is_some());
+                    entry.into_iter().for_each(|entry| entry.waiter.give_up(attempt));
                     let next = self.ended(now, id, attempt, Outcome::TimedOut.into());
                     let Next::Verdict(verdict) = next else { continue };
                     (id, Some(verdict))
                 }
             };
             let Some(verdict) = verdict else { continue };
-            self.hand_over(id, verdict);
+            self.hand_over(now, id, verdict);
         }
     }
 
@@ -265,7 +277,6 @@
     /// purge has been told since that it does not know of.
     pub fn may_send(&self, order: &Order) -> bool {
         let Some(entry) = self.open.get(&order.request) else { return false };
-        let current = entry.out.as_ref().is_some_and(|out| out.attempt == order.attempt);
         let source = order.fill.and_then(|fill| fill.source);
         let voided = |purge: &Purge| {
             purge.told >= order.picked
@@ -274,20 +285,29 @@
                     None => purge.group.is_some() && purge.group == entry.group,
                 }
         };
-        current
+        entry.place(order.attempt).is_some()
             && self.serving(order.member)
             && source.is_none_or(|source| self.serving(source))
             && !self.purges.iter().rev().any(voided)
     }
 
     /// A request with a final verdict is no longer open.
-    fn settle(&mut self, id: RequestId, verdict: Option<&Verdict>) -> Option<Entry<W>> {
+    fn settle(&mut self, now: Micros, id: RequestId, verdict: Option<&Verdict>) -> Option<Entry<W>> {
         let last = verdict.is_some_and(|verdict| !matches!(verdict, Verdict::Attempt(_)));
-        if last { self.open.remove(&id) } else { None }
+        if last { self.forget(now, id) } else { None }
+    }
+
+    /// Fronts withdraw what is out with the end of its request. The module hears of each: else it would count
+    /// it as held by its member for ever.
+    fn forget(&mut self, now: Micros, id: RequestId) -> Option<Entry<W>> {
+        while let Some(out) = self.open.get(&id).and_then(|entry| entry.out.first()) {
+            self.ended(now, id, out.attempt, Outcome::Cancelled.into());
+        }
+        self.open.remove(&id)
     }
 
-    fn hand_over(&mut self, id: RequestId, verdict: Verdict) {
-        match self.settle(id, Some(&verdict)) {
+    fn hand_over(&mut self, now: Micros, id: RequestId, verdict: Verdict) {
+        match self.settle(now, id, Some(&verdict)) {
             Some(entry) => entry.waiter.deliver(verdict),
             None => self.open.get(&id).into_iter().for_each(|entry| entry.waiter.deliver(verdict.clone())),
         }
@@ -298,13 +318,14 @@
         let Ended { outcome, detail, load } = how;
         let finished = matches!(outcome, Outcome::Served | Outcome::Checked);
         let Some(entry) = self.open.get_mut(&id) else { return Next::Wait };
-        let Some(out) = entry.out.take_if(|out| out.attempt == attempt) else { return Next::Wait };
+        let Some(place) = entry.place(attempt) else { return Next::Wait };
+        let out = entry.out.remove(place);
         let elapsed = now.saturating_sub(out.sent);
         let member = out.member;
         let event = Event::Outcome { request: id, member, attempt, outcome, detail, elapsed, finished, load };
         let verdict = self.drive(now, event);
         if finished {
-            self.open.remove(&id);
+            self.forget(now, id);
             return Next::Done;
         }
         verdict.map_or(Next::Wait, Next::Verdict)
@@ -321,7 +342,7 @@
                     let Some(entry) = self.open.get_mut(&request) else { continue };
                     let attempt = entry.attempts;
                     entry.attempts += 1;
-                    entry.out = Some(Out { attempt, member, sent: now });
+                    entry.out.push(Out { attempt, member, sent: now });
                     self.timers.push(Reverse((now + timeout, Due::Attempt(request, attempt))));
                     let caller = entry.caller.clone();
                     let order = Order { request, attempt, member, timeout, fill, picked: now, caller };
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -5,7 +5,7 @@
 use super::identity::Guard;
 use super::service::{Client, Final, Leaving, Service, Work};
 use super::snapshot::Snapshot;
-use super::store::{Answered, End, Limits, Reply, Stores};
+use super::store::{Answered, End, Limits, Reply, Stores, Ticket};
 use super::{Place, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use crate::events::{self, Batch, Event, list_kind};
@@ -14,7 +14,7 @@
 use may::sync::mpsc;
 use sagearch_identity::Caller;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
@@ -41,6 +41,8 @@
         attempt: u32,
         reply: Reply,
     },
+    /// The time of this attempt is over.
+    GiveUp(u32),
     /// It is time to see whether the client is still there.
     Look,
 }
@@ -53,6 +55,10 @@
     fn deliver(&self, verdict: Verdict) {
         let _ = self.0.send(Note::Verdict(verdict));
     }
+
+    fn give_up(&self, attempt: u32) {
+        let _ = self.0.send(Note::GiveUp(attempt));
+    }
 }
 
 impl Answered for Mailbox {
@@ -218,79 +224,63 @@
         notes: &mpsc::Receiver<Note>,
     ) -> Final {
         let id = request.id;
+        let mut out = Out { sent: Vec::new(), waiting: VecDeque::new(), settled: Instant::now() };
         let mut verdict = self.broker().pick(self.clock.now(), request, caller.clone(), mailbox.clone());
-        let mut settled = Instant::now();
-        loop {
-            let mut out = None;
+        let end = loop {
             match verdict.take() {
-                Some(Verdict::Attempt(order)) => {
-                    // Before it is sent, a timer may decide otherwise.
-                    verdict = overtaken(settled, notes);
-                    if verdict.is_some() {
-                        continue;
-                    }
-                    let fill = order.fill.unwrap_or_default();
-                    log::debug!(
-                        "{:016x} attempt {} to {:08x} from {:08x}, keep {}, held only {}, for {} ms",
-                        order.request.0,
-                        order.attempt,
-                        order.member.0,
-                        source_of(&order),
-                        fill.keep,
-                        fill.held_only,
-                        order.timeout / 1_000,
-                    );
-                    let ticket = match work {
-                        Work::Pull(pull) => self.stores.pull(&order, pull, mailbox.clone()),
-                        Work::Check => self.stores.echo(&order, mailbox.clone()),
-                    };
-                    out = Some((order, ticket));
-                }
-                Some(Verdict::Refused { backoff }) => return Final::Refused(backoff),
-                Some(Verdict::Failed) => return Final::Failed,
+                Some(Verdict::Attempt(order)) => out.waiting.push_back(order),
+                Some(Verdict::Refused { backoff }) => break Final::Refused(backoff),
+                Some(Verdict::Failed) => break Final::Failed,
                 None => {}
             }
-            while verdict.is_none() {
-                match notes.recv() {
-                    // A timer decided: the attempt that is still out is given up before another goes out.
-                    Ok(Note::Verdict(next)) => {
-                        if let Some((order, ticket)) = out.take() {
-                            log::debug!(
-                                "{:016x} attempt {} at {:08x} from {:08x}: given up",
-                                order.request.0,
-                                order.attempt,
-                                order.member.0,
-                                source_of(&order),
-                            );
-                            let settles = ticket.settles();
-                            if ticket.kill(true) {
-                                settled = Instant::now() + settles;
-                            }
-                        }
-                        verdict = Some(next);
-                    }
-                    Ok(Note::Reply { attempt, reply }) => {
-                        let Some((order, ticket)) = out.take_if(|(order, _)| order.attempt == attempt) else {
-                            continue;
-                        };
-                        if reply.end == End::Reset {
-                            settled = Instant::now() + ticket.settles();
-                        }
-                        match self.ended(&order, work, &reply) {
-                            Next::Done if reply.end == End::Yes => return Final::Checked(order),
-                            Next::Done => return Final::Served(reply),
-                            Next::Verdict(next) => verdict = Some(next),
-                            Next::Wait => {}
-                        }
+            if let Some(order) = out.due() {
+                let ticket = self.send(&order, work, mailbox);
+                out.sent.push((order, ticket));
+            }
+            match out.note(notes) {
+                None => {}
+                Some(Note::Verdict(next)) => verdict = Some(next),
+                Some(Note::GiveUp(attempt)) => out.give_up(attempt),
+                Some(Note::Reply { attempt, reply }) => {
+                    let Some((order, ticket)) = out.take(attempt) else { continue };
+                    if reply.end == End::Reset {
+                        out.settled = Instant::now() + ticket.settles();
                     }
-                    Ok(Note::Look) if client.is_none_or(Client::still_there) => {}
-                    Ok(Note::Look) | Err(_) => {
-                        out.take().map(|(_, ticket)| ticket.kill(false));
-                        self.broker().abandon(self.clock.now(), id);
-                        return Final::Gone;
+                    match self.ended(&order, work, &reply) {
+                        Next::Done if reply.end == End::Yes => break Final::Checked(order),
+                        Next::Done => break Final::Served(reply),
+                        Next::Verdict(next) => verdict = Some(next),
+                        Next::Wait => {}
                     }
                 }
+                Some(Note::Look) if client.is_none_or(Client::still_there) => {}
+                Some(Note::Look) => {
+                    self.broker().abandon(self.clock.now(), id);
+                    break Final::Gone;
+                }
             }
+        };
+        // What is still out was waited for in vain, or another copy was quicker.
+        let silent = !matches!(end, Final::Gone);
+        out.sent.into_iter().for_each(|(_, ticket)| _ = ticket.kill(silent));
+        end
+    }
+
+    fn send(&self, order: &Order, work: &Work, mailbox: &Mailbox) -> Ticket<Mailbox> {
+        let fill = order.fill.unwrap_or_default();
+        log::debug!(
+            "{:016x} attempt {} to {:08x} from {:08x}, keep {}, held only {}, for {} ms",
+            order.request.0,
+            order.attempt,
+            order.member.0,
+            source_of(order),
+            fill.keep,
+            fill.held_only,
+            order.timeout / 1_000,
+        );
+        match work {
+            Work::Pull(pull) => self.stores.pull(order, pull, mailbox.clone()),
+            Work::Check => self.stores.echo(order, mailbox.clone()),
         }
     }
 
@@ -401,16 +391,47 @@
     }
 }
 
-/// Waits until what was given up is sure to be known at its store, or until a later verdict comes.
-fn overtaken(settled: Instant, notes: &mpsc::Receiver<Note>) -> Option<Verdict> {
-    loop {
-        let left = settled.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return None;
+/// What is out of one request.
+struct Out {
+    sent: Vec<(Order, Ticket<Mailbox>)>,
+    /// Picked and not sent yet: what was given up before is not sure to be known at its store.
+    waiting: VecDeque<Order>,
+    settled: Instant,
+}
+
+impl Out {
+    /// What is to be sent now.
+    fn due(&mut self) -> Option<Order> {
+        if Instant::now() < self.settled { None } else { self.waiting.pop_front() }
+    }
+
+    /// The next note; `None`: it is time to send what waits.
+    fn note(&self, notes: &mpsc::Receiver<Note>) -> Option<Note> {
+        if self.waiting.is_empty() {
+            // The sender lives as long as the request.
+            return notes.recv().ok();
         }
-        // Old replies are of no interest any more, and looks for the client come again.
-        if let Ok(Note::Verdict(next)) = notes.recv_timeout(left) {
-            return Some(next);
+        notes.recv_timeout(self.settled.saturating_duration_since(Instant::now())).ok()
+    }
+
+    fn take(&mut self, attempt: u32) -> Option<(Order, Ticket<Mailbox>)> {
+        let at = self.sent.iter().position(|(order, _)| order.attempt == attempt)?;
+        Some(self.sent.remove(at))
+    }
+
+    /// Withdraws an attempt whose time is over, whether it was sent or waits for that.
+    fn give_up(&mut self, attempt: u32) {
+        self.waiting.retain(|order| order.attempt != attempt);
+        let Some((order, ticket)) = self.take(attempt) else { return };
+        log::debug!(
+            "{:016x} attempt {attempt} at {:08x} from {:08x}: given up",
+            order.request.0,
+            order.member.0,
+            source_of(&order),
+        );
+        let settles = ticket.settles();
+        if ticket.kill(true) {
+            self.settled = Instant::now() + settles;
         }
     }
 }
@@ -449,17 +470,33 @@
     use super::*;
     use rstest::rstest;
 
+    fn order(attempt: u32) -> Order {
+        let (request, member, caller) = (RequestId(1), MemberId(1), Caller::anonymous());
+        Order { request, attempt, member, timeout: 1, fill: None, picked: 0, caller }
+    }
+
     #[test]
-    fn an_attempt_waits_for_the_kill_before_it_but_not_for_a_later_verdict() {
+    fn an_attempt_waits_for_the_kill_before_it_but_no_verdict_waits_with_it() {
         let (mail, notes) = mpsc::channel();
-        let began = Instant::now();
-        mail.send(Note::Look).unwrap();
-        assert_eq!(overtaken(began + Duration::from_millis(40), &notes), None);
-        assert!(began.elapsed() >= Duration::from_millis(40));
+        let (began, waits) = (Instant::now(), Duration::from_millis(40));
+        let mut out = Out { sent: Vec::new(), waiting: VecDeque::from([order(1)]), settled: began + waits };
+        assert!(out.due().is_none());
+        assert!(out.note(&notes).is_none());
+        assert!(began.elapsed() >= waits);
+        assert_eq!(out.due().map(|order| order.attempt), Some(1));
+        out.waiting.push_back(order(2));
+        out.settled = Instant::now() + Duration::from_secs(60);
         mail.send(Note::Verdict(Verdict::Failed)).unwrap();
-        let late = Instant::now() + Duration::from_secs(60);
-        assert_eq!(overtaken(late, &notes), Some(Verdict::Failed));
-        assert_eq!(overtaken(began, &notes), None, "what has settled waits for nothing");
+        assert!(matches!(out.note(&notes), Some(Note::Verdict(Verdict::Failed))));
+    }
+
+    #[test]
+    fn an_attempt_whose_time_is_over_before_it_went_out_is_never_sent() {
+        let mut out =
+            Out { sent: Vec::new(), waiting: VecDeque::from([order(1), order(2)]), settled: Instant::now() };
+        out.give_up(1);
+        assert_eq!(out.due().map(|order| order.attempt), Some(2));
+        assert!(out.due().is_none());
     }
 
     /// Of 384 descriptors 153 are for clients and 128 for stores, however two processes share them.
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -2,6 +2,7 @@
 
 mod common;
 use common::{MS, SECOND, fleet, member, settings};
+use rstest::rstest;
 use sagearch::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use sagearch::interface::*;
 use sagearch_identity::Caller;
@@ -9,12 +10,16 @@
 use std::rc::Rc;
 
 #[derive(Clone, Default)]
-struct Told(Rc<RefCell<Vec<Verdict>>>);
+struct Told(Rc<RefCell<Vec<Verdict>>>, Rc<RefCell<Vec<u32>>>);
 
 impl Waiter for Told {
     fn deliver(&self, verdict: Verdict) {
         self.0.borrow_mut().push(verdict);
     }
+
+    fn give_up(&self, attempt: u32) {
+        self.1.borrow_mut().push(attempt);
+    }
 }
 
 fn request(id: u64, class: usize) -> Request {
@@ -204,3 +209,80 @@
     new.take_over(serde_json::from_value(serde_json::json!(old.memory().0)).unwrap());
     assert_eq!(counted(&new), counted(&old));
 }
+
+/// A broker that may send second copies and has learned that answers get lost.
+fn broker_with_losses() -> Broker<Told> {
+    let mut broker = Broker::new(Settings { second_copies: true, ..settings() }, 1);
+    broker.members(0, ListKind::Complete, fleet());
+    for id in 1_000..1_010 {
+        let first = attempt(broker.pick(MS, request(id, 0), Caller::anonymous(), Told::default()));
+        let Next::Verdict(next) = report(&mut broker, MS, &first, Outcome::TimedOut) else { panic!() };
+        assert_eq!(report(&mut broker, MS, &attempt(Some(next)), Outcome::Served), Next::Done);
+    }
+    broker
+}
+
+/// The first attempt of a request, and a second copy sent beside it.
+fn two_out(broker: &mut Broker<Told>, now: Micros, id: u64) -> ([Order; 2], Told) {
+    let told = Told::default();
+    let first = attempt(broker.pick(now, request(id, 0), Caller::anonymous(), told.clone()));
+    (1..=600).for_each(|ms| broker.tick(now + ms * MS));
+    let second = attempt(told.0.borrow_mut().pop());
+    assert!(told.1.borrow().is_empty(), "the first goes on");
+    assert!(broker.may_send(&first) && broker.may_send(&second));
+    ([first, second], told)
+}
+
+#[rstest]
+#[case::first(0)]
+#[case::second(1)]
+fn whichever_copy_answers_ends_the_request_once(#[case] winner: usize) {
+    let mut broker = broker_with_losses();
+    let (orders, told) = two_out(&mut broker, SECOND, 1);
+    let now = SECOND + 700 * MS;
+    assert_eq!(report(&mut broker, now, &orders[winner], Outcome::Served), Next::Done);
+    assert_eq!(report(&mut broker, now, &orders[1 - winner], Outcome::Served), Next::Wait);
+    assert!(orders.iter().all(|order| !broker.may_send(order)));
+    (0..3_000).for_each(|ms| broker.tick(now + ms * MS));
+    assert!(told.0.borrow().is_empty() && broker.open() == 0);
+}
+
+#[test]
+fn a_copy_that_fails_leaves_the_other_out_and_only_the_last_failure_counts() {
+    let mut broker = broker_with_losses();
+    let ([first, second], told) = two_out(&mut broker, SECOND, 1);
+    assert_eq!(report(&mut broker, SECOND + 610 * MS, &second, Outcome::Miss), Next::Wait);
+    assert!(broker.may_send(&first) && !broker.may_send(&second));
+    (610..3_000).for_each(|ms| broker.tick(SECOND + ms * MS));
+    // Its time is over: it is withdrawn by name, and then the next goes out.
+    assert_eq!(told.1.borrow().first(), Some(&0));
+    assert!(matches!(told.0.borrow().first(), Some(Verdict::Attempt(Order { attempt: 2, .. }))));
+    assert_eq!(broker.open(), 0);
+}
+
+/// A loser that the module never heard of again would count as held by its member for ever.
+#[test]
+fn losers_do_not_add_up() {
+    let mut broker = broker_with_losses();
+    for id in 0..200 {
+        let now = SECOND * (1 + id);
+        let ([_, second], _) = two_out(&mut broker, now, 1 + id);
+        assert_eq!(report(&mut broker, now + 700 * MS, &second, Outcome::Served), Next::Done);
+        // Answers that come at once earn the next second copy.
+        for more in 0..4 {
+            let now = now + 710 * MS;
+            let asked =
+                broker.pick(now, request(10_000 + id * 10 + more, 0), Caller::anonymous(), Told::default());
+            assert_eq!(report(&mut broker, now, &attempt(asked), Outcome::Served), Next::Done, "{id}");
+        }
+    }
+}
+
+#[test]
+fn with_the_clients_leave_both_are_out_no_more() {
+    let mut broker = broker_with_losses();
+    let (orders, _) = two_out(&mut broker, SECOND, 1);
+    broker.abandon(SECOND + 610 * MS, RequestId(1));
+    assert!(orders.iter().all(|order| !broker.may_send(order)));
+    assert_eq!(broker.open(), 0);
+}
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -5,9 +5,11 @@
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use stand::*;
+use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const SEGMENT: &str = "video/7f3a/block-3";
@@ -91,6 +93,53 @@
     assert!((250..1_200).contains(&got.took.as_millis()), "{:?}", got.took);
 }
 
+/// Answers are lost now and then, and the settings allow two attempts at once: the second goes out beside the
+/// first, either may answer, and the other is given up then and not before.
+#[rstest]
+#[case::the_second_answers(false)]
+#[case::the_first_answers_after_all(true)]
+fn a_second_copy_runs_beside_the_first_and_one_answer_ends_both(#[case] first_answers: bool) {
+    let (bus, pulls) = (Bus::default(), Arc::new(Mutex::new(HashMap::<String, usize>::new())));
+    let [one, two] = [1, 2].map(|id| {
+        let pulls = pulls.clone();
+        Store::new(id, move |line, _| {
+            if !line.starts_with("PULL") {
+                return Do::Nothing;
+            }
+            let asked = line.split(' ').nth(1).unwrap().to_string();
+            let before = {
+                let mut pulls = pulls.lock().unwrap();
+                let count = pulls.entry(asked.clone()).or_default();
+                *count += 1;
+                *count - 1
+            };
+            match (before, first_answers && asked.ends_with('2')) {
+                (0, true) => {
+                    wait_for("the second copy", || pulls.lock().unwrap()[&asked] == 2);
+                    std::thread::sleep(Duration::from_millis(50));
+                    ok(b"first")
+                }
+                (1, false) => ok(b"second"),
+                _ => Do::Nothing,
+            }
+        })
+    });
+    let gateway = gateway_where(&bus, &[one.cache(), two.cache()], |settings| settings.second_copies = true);
+    let both = |word: &str| [one.lines(word), two.lines(word)].concat();
+    // An answer that is lost teaches that answers are.
+    assert_eq!(ask_text(gateway.listen, &request(SEGMENT, 1, 3_000, "")).unwrap().status, 200);
+    wait_for("the first is given up", || both("KILL").len() == 1);
+    let got = ask_text(gateway.listen, &request(SEGMENT, 2, 3_000, "")).unwrap();
+    let body: &[u8] = if first_answers { b"first" } else { b"second" };
+    assert_eq!((got.status, got.body.as_slice()), (200, body));
+    assert!(got.took < Duration::from_millis(900), "{:?}", got.took);
+    wait_for("the other is given up", || both("KILL 0000000000000002").len() == 1);
+    assert_eq!(both("PULL 0000000000000002").len(), 2);
+    // The next is alone again.
+    pulls.lock().unwrap().insert("0000000000000003".into(), 1);
+    assert_eq!(ask(gateway.listen, SEGMENT, 3).status, 200);
+}
+
 /// What one spoilt answer does to its connection costs no other request an attempt.
 #[test]
 fn a_spoilt_answer_is_not_the_others_loss() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use sagearch::config::{Config, decode};
+use sagearch::interface::Settings;
 use sagearch::net::{self, gateway::Gateway};
 use sagearch_operators::{self as operators, fronts::Raft};
 use serde_json::{Value, json};
@@ -234,6 +235,11 @@
     start(bus, instances, 1024, |config| config.names.connections.streams = streams)
 }
 
+/// One under settings of another deployment.
+pub fn gateway_where(bus: &Bus, instances: &[Value], change: impl FnOnce(&mut Settings)) -> Gateway {
+    start(bus, instances, 1024, |config| change(&mut config.settings))
+}
+
 /// One that operators may call, with a folder for what lasts.
 pub fn gateway_for_operators(bus: &Bus, instances: &[Value], lasting: &Folder) -> Gateway {
     start(bus, instances, 1024, |config| {
