Further attempts at the origin draw on a budget over time, with pauses spread

The origin has no stand-in: such attempts are what keeps it refusing. Changed: a further attempt at the origin is one of a fifth of its requests; what is saved is a share of the fleet's (1 + 10 / gateways) and begins at chance; without one the request is refused at once; pauses are spread by the request's id between half and one and a half times, and none is cut short. Ruled out: a tenth in place of a fifth (no difference).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -84,6 +84,9 @@
 const SECOND_FROM: f64 = 0.02;
 /// Wait before the origin, which has no stand-in, is asked again; it doubles each time.
 const ORIGIN_PAUSE: Micros = 60_000;
+/// Further attempts at the origin that each request for it earns, and how many all gateways save up.
+const ORIGIN_EARN: f64 = 0.2;
+const ORIGIN_SAVED: f64 = 10.0;
 /// A member's health and cold budget outlast its absence for this long.
 const GONE_KEPT: Micros = 60_000_000;
 /// Shortest advice to a refused client on when to come back.
@@ -133,6 +136,8 @@
     /// When objects (true, by hash) and groups (false) were last purged.
     purges: BTreeMap<(bool, u64), Micros>,
     retries: f64,
+    /// The same for what runs at the origin alone.
+    origin_retries: f64,
     /// Worth for each second of sending time of recent requests.
     worths: Recent,
 }
@@ -152,7 +157,10 @@
         let learned =
             Learned { mean_work, misses: [1.0, 0.5, 0.25, 0.1], fill_extra: 0.15, ..Learned::default() };
         let retries = RETRY_SAVED / 2.0;
-        Router { settings, random: seed, learned, retries, processes: 1.0, ..Router::default() }
+        let mut router =
+            Router { settings, random: seed, learned, retries, processes: 1.0, ..Router::default() };
+        router.origin_retries = 1.0 + router.chance();
+        router
     }
 
     /// Goes on from what another process has learned, or under new settings. Classes keep their places.
@@ -566,16 +574,27 @@
         let open = &self.open[&id];
         let target = target.filter(|target| self.in_group(open, *target));
         let (Some(origin), Some(target)) = (origin, target) else { return self.give_up(id, actions) };
-        // The origin has no stand-in: after a failure it gets a growing pause, not a hammering.
-        let pause = ORIGIN_PAUSE << open.attempts.len().min(6);
+        // The origin has no stand-in: after a failure it gets a growing pause, not a hammering, and no more
+        // further attempts than a share of its requests. They would keep an origin refusing that turns calls
+        // away above a rate. What is saved is a share of the fleet's, and begins at chance.
+        let further = open.attempts.len() as u32;
+        if further > 0 && self.origin_retries < 1.0 {
+            return self.give_up(id, actions);
+        }
         if let Some(last) = open.attempts.last().filter(|last| last.ended != Some(Outcome::TimedOut)) {
-            let due = last.sent + pause;
-            if self.now < due && due + pause < open.deadline {
+            let (sent, deadline) = (last.sent, open.deadline);
+            // Drawn from the id, so that it stays the same when the pause is over.
+            let spread = 0.5 + hash::unit(mix(id.0 ^ u64::from(further)));
+            let due = sent + ((ORIGIN_PAUSE << further.min(6)) as f64 * spread) as Micros;
+            if self.now < due && due < deadline {
                 self.open.get_mut(&id).expect("held").paused_until = Some(due);
                 let after = due - self.now;
                 return actions.push(Action::SetTimer { timer: TimerId(id.0), after });
             }
         }
+        let most = 1.0 + ORIGIN_SAVED / self.routers_of(Role::Origin);
+        let earned = if further == 0 { ORIGIN_EARN } else { -1.0 };
+        self.origin_retries = (self.origin_retries + earned).min(most);
         let fill = Fill { source: Some(origin), ..Fill::default() };
         self.send(id, target, (target != origin).then_some(fill), actions);
     }
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -490,6 +490,51 @@
     assert!(sent(&bench.after(*after).event(Event::Timer(TimerId(1)))).is_some());
 }
 
+/// An origin that turns calls away above a rate is not kept there by further attempts: over the whole fleet they
+/// are a fifth of the requests, and two or three more for each gateway.
+#[rstest]
+#[case::three(3, 200)]
+#[case::hundred(100, 40)]
+#[case::three_hundred(300, 10)]
+fn further_attempts_at_the_origin_are_a_share_of_its_requests(#[case] routers: u32, #[case] requests: u64) {
+    let mut attempts = 0;
+    for seed in 0..u64::from(routers) {
+        let mut bench = Bench::with(Settings { routers, ..settings() }, fleet());
+        bench.router = sagearch::Router::new(Settings { routers, ..settings() }, seed);
+        bench.event(Event::Members { kind: ListKind::Complete, members: fleet() });
+        for id in 0..requests {
+            let mut actions = bench.after(SECOND).asked(id, 2, "a", 1.0);
+            for nr in 0.. {
+                if sent(&actions).is_some() {
+                    attempts += 1;
+                    actions = bench.after(5 * MS).ended(id, nr, Outcome::Full, Detail::Untold);
+                }
+                let Some(Action::SetTimer { after, .. }) = actions.first().cloned() else { break };
+                actions = bench.after(after).event(Event::Timer(TimerId(id)));
+            }
+            assert!(refused(&actions), "{actions:?}");
+        }
+    }
+    let fleet = u64::from(routers);
+    let most = fleet * requests * 12 / 10 + 2 * fleet + 20;
+    assert!((fleet * requests..=most).contains(&attempts), "{attempts} of {most}");
+}
+
+/// Pauses end apart from each other, or all gateways would come back to the origin together.
+#[test]
+fn pauses_before_the_origin_are_spread() {
+    let pauses: std::collections::BTreeSet<Micros> = (0..20)
+        .map(|id| {
+            let mut bench = Bench::new();
+            bench.asked(id, 1, "a", 1.0);
+            let paused = bench.after(MS).ended(id, 0, Outcome::Full, Detail::Untold);
+            let Some(Action::SetTimer { after, .. }) = paused.first() else { panic!("{paused:?}") };
+            after / (10 * MS)
+        })
+        .collect();
+    assert!(pauses.len() >= 6, "{pauses:?}");
+}
+
 #[test]
 fn a_source_that_fails_every_other_fill_is_left_out() {
     let object = object_at(1);
