--- a/src/brain.rs
+++ b/src/brain.rs
@@ -373,10 +373,10 @@
     fn spend_cold(&mut self, id: MemberId, work: f64, really: bool) -> bool {
         let peer = &self.peers[&id];
         let warmth = self.warmth(peer);
-        if warmth >= 1.0 {
+        let rule = self.cold_rule(peer.info.role);
+        if warmth >= 1.0 || rule.multiple <= 0.0 {
             return true;
         }
-        let rule = self.cold_rule(peer.info.role);
         let share = peer.capacity * warmth / (self.routers_of(peer.info.role) * self.processes);
         let rate = share * rule.multiple * COLD_HEADROOM;
         let most = rate * seconds(rule.window) / 2.0;
@@ -438,7 +438,9 @@
         let uncacheable = self.settings.classes[class].uncacheable;
         let rank = if uncacheable { 0 } else { self.count(key) };
         let pace = self.settings.pace_kb_per_s;
-        let sized = if pace > 0.0 { asked.size_kb / pace } else { 0.0 };
+        // Untold, a request must not count as none in a cold member's budget.
+        let sized =
+            if pace > 0.0 { asked.size_kb / pace } else { seconds(self.settings.classes[class].aim) / 2.0 };
         let (mean, seen) = &mut self.learned.mean_work[class];
         // A look-up by name tells no size: it stands for the mean of its class and teaches nothing.
         let work = if asked.by_name { *mean } else { sized };
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -94,6 +94,7 @@
 const STREAMS: usize = 100;
 const CONNECT: Micros = 400_000;
 const KEEPALIVE: Micros = 30_000_000;
+const TICK: Micros = 2_000;
 
 impl Limits {
     fn connections(&self) -> Connections {
@@ -227,7 +228,7 @@
             window: rules.fall,
         },
         purge_takes: info.purge_takes,
-        tick: env.tick,
+        tick: if env.tick > 0 { env.tick } else { TICK },
     };
     Ok((settings, names))
 }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -286,3 +286,31 @@
     assert!(orders.iter().all(|order| !broker.may_send(order)));
     assert_eq!(broker.open(), 0);
 }
+
+/// Rule on drains, for a source that is another cache of the location.
+#[test]
+fn a_cache_that_drains_between_pick_and_send_is_no_source_any_more() {
+    let mut broker = Broker::new(Settings { siblings: true, ..settings() }, 1);
+    let now = 100 * SECOND;
+    let mut members = fleet();
+    members[0].started = Some(now - 8 * SECOND);
+    broker.members(now, ListKind::Complete, members);
+    let mut from_a_cache = |id: u64| {
+        let asked = Request { object: format!("o{id}"), ..request(id, 0) };
+        let order = attempt(broker.pick(now + id * 50 * MS, asked, Caller::anonymous(), Told::default()));
+        let source = order.fill.and_then(|fill| fill.source).filter(|source| source.0 < 10);
+        if source.is_none() {
+            report(&mut broker, now + id * 50 * MS, &order, Outcome::Served);
+        }
+        source.map(|source| (order, source))
+    };
+    let (order, source) = (0..30).find_map(&mut from_a_cache).expect("the new cache is filled by another");
+    let now = now + 2 * SECOND;
+    assert!(broker.may_send(&order));
+    let drains = Member { state: MemberState::Draining, ..member(source.0, Role::Cache) };
+    broker.members(now, ListKind::Changes, vec![drains]);
+    assert!(!broker.may_send(&order));
+    let Next::Verdict(next) = report(&mut broker, now, &order, Outcome::NotSent) else { panic!() };
+    let next = attempt(Some(next)).fill.and_then(|fill| fill.source);
+    assert!(next.is_some_and(|next| next.0 > 10), "{next:?}");
+}
