--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,7 +18,7 @@
 //!     zones: vec![Zone { routers: 1 }],
 //!     zone: 0, routers: 1, pace_kb_per_s: 5_000.0, weights_told: true,
 //!     second_copies: false, may_cancel: true, max_backoff: Some(1_000_000),
-//!     straight: true, joins: true, cold_cache: cold, cold_parent: cold,
+//!     straight: true, joins: true, siblings: false, cold_cache: cold, cold_parent: cold,
 //!     purge_takes: 6_000_000, tick: 1_000,
 //! };
 //! let member = |id, role| Member {
