--- /dev/null
+++ b/crates/lab/src/check/tests.rs
@@ -0,0 +1,217 @@
+//! The checker bites: a run without fault passes, and each deliberate one is caught by its rule.
+
+use super::faults::Faults;
+use super::{Bounds, Checker, Cold, Given};
+use crate::condition::{LinkFault, LinkFaultOn};
+use crate::party::PartyId;
+use crate::scenario::Blow;
+use crate::schedule::{Deed, Planned, Schedule};
+use crate::trace::{Body, Change, Effect, Life, Micros, Seen, What, Word};
+use rstest::rstest;
+use std::time::Duration;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000 * MS;
+const BUS: PartyId = PartyId(0);
+const CLIENTS: PartyId = PartyId(1);
+const GATEWAY: PartyId = PartyId(2);
+const OTHER_GATEWAY: PartyId = PartyId(3);
+const STORE: PartyId = PartyId(4);
+const OTHER_STORE: PartyId = PartyId(5);
+
+fn bounds() -> Bounds {
+    Bounds {
+        margin: 50 * MS,
+        most_attempts: 4,
+        second_copies: false,
+        drain_grace: S,
+        purge_notice: 300 * MS,
+        told_within: 7 * S,
+        cold: Cold { bears: 1_000.0, floor: 0.2, warm_up: 10 * S, multiple: 2.0, window: S },
+    }
+}
+
+fn judged(trace: &[Seen], planned: Vec<Planned>) -> Vec<(&'static str, String)> {
+    let faults = Faults::new(&Schedule { planned }, BUS);
+    let mut checker = Checker::new(Given { faults, bounds: bounds() });
+    trace.iter().for_each(|seen| checker.see(seen));
+    let end = trace.last().map_or(0, |seen| seen.at) + 60 * S;
+    checker.end(end).0.into_iter().map(|finding| (finding.rule, finding.text)).collect()
+}
+
+fn seen(at: Micros, what: What) -> Seen {
+    Seen { at, what }
+}
+
+fn asked(at: Micros, id: u64, effect: Effect) -> Seen {
+    let fresh = (effect == Effect::Free).then_some(20 * S);
+    let (object, part) = ("aa07".into(), "1".into());
+    let what =
+        What::Asked { id, gateway: GATEWAY, clients: CLIENTS, effect, object, part, wait: 2 * S, fresh };
+    seen(at, what)
+}
+
+fn arrived(at: Micros, id: u64, attempt: u64, store: PartyId) -> Seen {
+    seen(at, What::Arrived { id, attempt, gateway: GATEWAY, store, sent: at })
+}
+
+fn ended(at: Micros, attempt: u64, word: Word) -> Seen {
+    seen(at, What::Ended { attempt, word })
+}
+
+fn served(at: Micros, id: u64, made: Micros) -> Seen {
+    let body = Body { object: "aa07".into(), part: "1".into(), version: 0, made };
+    seen(at, What::Answered { id, status: 200, retry_after: false, body: Some(body), whole: true })
+}
+
+fn refused(at: Micros, id: u64, retry_after: bool) -> Seen {
+    seen(at, What::Answered { id, status: 503, retry_after, body: None, whole: true })
+}
+
+/// One request at 10 s that is served as it should be.
+fn good(id: u64, at: Micros) -> Vec<Seen> {
+    vec![
+        asked(at, id, Effect::Free),
+        arrived(at + MS, id, id * 10, STORE),
+        ended(at + 5 * MS, id * 10, Word::Ok),
+        served(at + 6 * MS, id, at),
+    ]
+}
+
+fn planned(begins: Micros, ends: Micros, deed: Deed) -> Planned {
+    let time = Duration::from_micros;
+    Planned { number: 0, phase: 0, begins: time(begins), ends: time(ends), deed }
+}
+
+fn on_link(one: PartyId, other: PartyId, fault: LinkFault) -> Deed {
+    Deed::Link(LinkFaultOn { from: [one].into(), to: [other].into(), both: true, fault })
+}
+
+#[test]
+fn a_run_as_it_should_be_passes() {
+    let mut trace: Vec<Seen> = (1..100).flat_map(|id| good(id, id * 20 * MS)).collect();
+    let at = 10 * S;
+    trace.extend([
+        // Sent again after proof that it never ran, given up, drained within the grace, and refused.
+        asked(at, 200, Effect::Once),
+        arrived(at + MS, 200, 1, STORE),
+        ended(at + 2 * MS, 1, Word::Refused),
+        arrived(at + 3 * MS, 200, 2, OTHER_STORE),
+        ended(at + 9 * MS, 2, Word::Error),
+        seen(
+            at + 10 * MS,
+            What::Answered { id: 200, status: 502, retry_after: false, body: None, whole: true },
+        ),
+        seen(at + 11 * MS, What::Stands { change: Change::Draining { store: STORE } }),
+        asked(at + 500 * MS, 201, Effect::Free),
+        arrived(at + 501 * MS, 201, 3, STORE),
+        seen(at + 600 * MS, What::GivenUp { attempt: 3, sent: at + 600 * MS }),
+        arrived(at + 601 * MS, 201, 4, OTHER_STORE),
+        ended(at + 700 * MS, 4, Word::Nothing),
+        refused(at + 701 * MS, 201, true),
+    ]);
+    assert_eq!(judged(&trace, Vec::new()), []);
+}
+
+/// Pushes a cold cache over by the sum of two gateways, each of which keeps to half.
+fn two_gateways_at_a_cold_cache(each: u64) -> Vec<Seen> {
+    let up = Change::Up { store: STORE, started: Some(0) };
+    let mut trace = vec![seen(0, What::Stands { change: up })];
+    for at in 0..2 * each {
+        let gateway = if at % 2 == 0 { GATEWAY } else { OTHER_GATEWAY };
+        let time = at * 2 * S / (2 * each);
+        trace.push(seen(time, What::Arrived { id: at, attempt: at, gateway, store: STORE, sent: time }));
+    }
+    trace
+}
+
+#[rstest]
+#[case::answered_twice("one answer", "had ended already", [good(1, S), vec![refused(2 * S, 1, true)]].concat())]
+#[case::answered_late("one answer", "after its wait", vec![asked(0, 1, Effect::Keyed), refused(3 * S, 1, true)])]
+#[case::never_answered("one answer", "never answered", vec![
+    asked(0, 1, Effect::Keyed), seen(2 * S, What::Left { id: 1 })])]
+#[case::never_ended("one answer", "never ended", vec![asked(0, 1, Effect::Keyed)])]
+#[case::broken_off("one answer", "broke off", vec![asked(0, 1, Effect::Keyed), seen(S, What::Broke { id: 1 })])]
+#[case::no_retry_after("refusals", "without Retry-After", vec![asked(0, 1, Effect::Keyed), refused(S, 1, false)])]
+#[case::two_out("attempts", "2 attempts are out", vec![
+    asked(0, 1, Effect::Free), arrived(MS, 1, 1, STORE), arrived(100 * MS, 1, 2, OTHER_STORE),
+    ended(101 * MS, 2, Word::Ok), served(102 * MS, 1, 0)])]
+#[case::too_many("attempts", "5 attempts", [
+    vec![asked(0, 1, Effect::Free)],
+    (1..=5).flat_map(|n| [arrived(n * 10 * MS, 1, n, STORE), ended(n * 10 * MS + MS, n, Word::Refused)]).collect(),
+    vec![refused(60 * MS, 1, true)]].concat())]
+#[case::ran_twice("attempts", "must not run twice", vec![
+    asked(0, 1, Effect::Once), arrived(MS, 1, 1, STORE), ended(2 * MS, 1, Word::Error),
+    arrived(3 * MS, 1, 2, STORE), ended(4 * MS, 2, Word::Refused), refused(5 * MS, 1, true)])]
+#[case::ran_twice_after_silence("attempts", "must not run twice", vec![
+    asked(0, 1, Effect::Once), arrived(MS, 1, 1, STORE), seen(S, What::GivenUp { attempt: 1, sent: S }),
+    arrived(S + MS, 1, 2, STORE), ended(S + 2 * MS, 2, Word::Refused), refused(S + 3 * MS, 1, true)])]
+#[case::after_a_drain("drains", "began to drain", [
+    vec![seen(0, What::Stands { change: Change::Draining { store: STORE } })], good(1, 2 * S)].concat())]
+#[case::after_it_left("drains", "left the list", [
+    vec![seen(0, What::Stands { change: Change::Draining { store: STORE } }),
+         seen(MS, What::Stands { change: Change::Removed { store: STORE } })], good(1, 2 * S)].concat())]
+#[case::stale_after_a_purge("copies", "before a purge", vec![
+    seen(S, What::Stands { change: Change::Purge { group: 7 } }), asked(2 * S, 1, Effect::Free),
+    arrived(2 * S + MS, 1, 1, STORE), ended(2 * S + 2 * MS, 1, Word::Ok), served(2 * S + 3 * MS, 1, S / 2)])]
+#[case::too_old("copies", "are allowed", vec![
+    asked(30 * S, 1, Effect::Free), arrived(30 * S, 1, 1, STORE), ended(30 * S, 1, Word::Ok),
+    served(30 * S, 1, 9 * S)])]
+#[case::out_of_nowhere("copies", "no store had answered", vec![asked(0, 1, Effect::Free), served(MS, 1, 0)])]
+#[case::another_object("copies", "in place of", vec![
+    asked(0, 1, Effect::Free), arrived(MS, 1, 1, STORE), ended(2 * MS, 1, Word::Ok),
+    seen(3 * MS, What::Answered { id: 1, status: 200, retry_after: false, whole: true, body: Some(Body {
+        object: "bb07".into(), part: "1".into(), version: 0, made: 0 }) })])]
+#[case::spoilt("copies", "no store made", vec![
+    asked(0, 1, Effect::Free), arrived(MS, 1, 1, STORE), ended(2 * MS, 1, Word::Ok),
+    seen(3 * MS, What::Answered { id: 1, status: 200, retry_after: false, whole: true, body: None })])]
+#[case::pushed_over_by_the_sum("cold caches", "over", two_gateways_at_a_cold_cache(700))]
+#[case::a_process_died("lives", "no fault had asked", vec![
+    seen(S, What::Process { whom: GATEWAY, life: Life::Died })])]
+fn a_deliberate_fault_is_caught(#[case] rule: &str, #[case] says: &str, #[case] trace: Vec<Seen>) {
+    let found = judged(&trace, Vec::new());
+    assert!(matches!(&found[..], [(by, text)] if *by == rule && text.contains(says)), "{found:?}");
+}
+
+#[test]
+fn either_gateways_share_alone_pushes_no_cold_cache_over() {
+    assert_eq!(judged(&two_gateways_at_a_cold_cache(300), Vec::new()), []);
+}
+
+#[rstest]
+#[case::killed(Deed::Process { whom: GATEWAY, blow: Blow::Kill }, true)]
+#[case::stopped(Deed::Process { whom: GATEWAY, blow: Blow::Stop }, true)]
+#[case::another_one_killed(Deed::Process { whom: OTHER_GATEWAY, blow: Blow::Kill }, false)]
+#[case::told_to_read_its_files(Deed::Process { whom: GATEWAY, blow: Blow::Hup }, false)]
+#[case::its_clients_cut_off(on_link(CLIENTS, GATEWAY, LinkFault::Cut), true)]
+#[case::a_store_cut_off(on_link(GATEWAY, STORE, LinkFault::Cut), false)]
+fn a_request_is_lost_without_blame_only_where_a_fault_lay(#[case] deed: Deed, #[case] excused: bool) {
+    let trace = [asked(S, 1, Effect::Keyed), seen(3 * S, What::Left { id: 1 })];
+    let found = judged(&trace, vec![planned(S, 2 * S, deed)]);
+    assert_eq!(found.is_empty(), excused, "{found:?}");
+}
+
+#[rstest]
+#[case::a_little(2, true)]
+#[case::for_long(9, false)]
+fn a_gateway_that_the_bus_can_t_reach_counts_as_told_in_the_end(
+    #[case] after: Micros,
+    #[case] excused: bool,
+) {
+    let drain = vec![seen(0, What::Stands { change: Change::Draining { store: STORE } })];
+    let cut = planned(0, 20 * S, on_link(GATEWAY, BUS, LinkFault::Cut));
+    let found = judged(&[drain, good(1, after * S)].concat(), vec![cut]);
+    assert_eq!(found.is_empty(), excused, "{found:?}");
+}
+
+#[test]
+fn a_finding_comes_with_what_was_seen_of_its_request_alone() {
+    let mut trace: Vec<Seen> = (1..50).flat_map(|id| good(id, id * 20 * MS)).collect();
+    trace.push(refused(2 * S, 7, true));
+    let faults = Faults::new(&Schedule::default(), BUS);
+    let mut checker = Checker::new(Given { faults, bounds: bounds() });
+    trace.iter().for_each(|seen| checker.see(seen));
+    let (findings, counts) = checker.end(3 * S);
+    assert_eq!(findings[0].around.len(), 5, "{:?}", findings[0].around);
+    assert_eq!(counts["one answer"], 1);
+}
--- /dev/null
+++ b/crates/lab/src/condition.rs
@@ -0,0 +1,226 @@
+//! What a link is like at a moment: all faults that lie on it, taken together.
+//!
+//! Faults overlap and end in any order. So a link's condition is never changed step by step; it is worked out
+//! anew from those that are in force.
+
+use crate::party::PartyId;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What may be wrong with the bytes that go from one party to another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LinkFault {
+    /// Nothing passes. What is sent is held, as TCP sends it again, and comes once the fault has ended; new
+    /// connections come up only then.
+    Cut,
+    /// Connections that are open stay open, and what is sent on them is lost for good: the machine behind has
+    /// vanished. New ones do not come up before the end.
+    Silence,
+    /// Open connections are reset as it begins, and new ones as they come.
+    Reset,
+    /// Nobody takes connections in: they come up, and nothing answers on them.
+    Stall,
+    Delay {
+        by: Duration,
+        /// Up to this much more, evenly drawn.
+        jitter: Duration,
+    },
+    /// Bytes a second.
+    Rate(f64),
+    /// The share of pieces of which one byte is changed.
+    Corrupt(f64),
+    /// Shares of datagrams.
+    Loss(f64),
+    Duplicate(f64),
+    Reorder(f64),
+}
+
+/// All that is wrong with one direction of a link.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Condition {
+    pub cut: bool,
+    pub silent: bool,
+    pub reset: bool,
+    pub stalled: bool,
+    pub delay: Duration,
+    pub jitter: Duration,
+    /// Bytes a second. None: as fast as it goes.
+    pub rate: Option<f64>,
+    pub corrupt: f64,
+    pub loss: f64,
+    pub duplicate: f64,
+    pub reorder: f64,
+}
+
+/// Either of two independent chances.
+fn either(one: f64, other: f64) -> f64 {
+    1.0 - (1.0 - one) * (1.0 - other)
+}
+
+impl Condition {
+    fn add(&mut self, fault: &LinkFault) {
+        match fault {
+            LinkFault::Cut => self.cut = true,
+            LinkFault::Silence => self.silent = true,
+            LinkFault::Reset => self.reset = true,
+            LinkFault::Stall => self.stalled = true,
+            LinkFault::Delay { by, jitter } => {
+                self.delay += *by;
+                self.jitter += *jitter;
+            }
+            LinkFault::Rate(rate) => self.rate = Some(self.rate.map_or(*rate, |held| held.min(*rate))),
+            LinkFault::Corrupt(share) => self.corrupt = either(self.corrupt, *share),
+            LinkFault::Loss(share) => self.loss = either(self.loss, *share),
+            LinkFault::Duplicate(share) => self.duplicate = either(self.duplicate, *share),
+            LinkFault::Reorder(share) => self.reorder = either(self.reorder, *share),
+        }
+    }
+
+    /// Whether a connection can come up now.
+    pub fn comes_up(&self) -> bool {
+        !self.cut && !self.silent
+    }
+}
+
+/// A fault that lies on links, from some parties to others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LinkFaultOn {
+    pub from: BTreeSet<PartyId>,
+    pub to: BTreeSet<PartyId>,
+    /// On what goes back, too.
+    pub both: bool,
+    pub fault: LinkFault,
+}
+
+impl LinkFaultOn {
+    pub fn lies_on(&self, from: PartyId, to: PartyId) -> bool {
+        let forth = self.from.contains(&from) && self.to.contains(&to);
+        forth || (self.both && self.from.contains(&to) && self.to.contains(&from))
+    }
+}
+
+/// What has struck the connections of a link that were open at the time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Strike {
+    Silenced,
+    Reset,
+}
+
+/// The faults in force, each by the number of its entry in the schedule.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    active: Vec<(usize, LinkFaultOn)>,
+    /// Silences and resets that have begun, also those that are over: a connection that was open then does not
+    /// come back. As many as the schedule holds.
+    struck: Vec<LinkFaultOn>,
+}
+
+impl Board {
+    pub fn begin(&mut self, number: usize, on: LinkFaultOn) {
+        if matches!(on.fault, LinkFault::Silence | LinkFault::Reset) {
+            self.struck.push(on.clone());
+        }
+        self.active.push((number, on));
+    }
+
+    pub fn end(&mut self, number: usize) {
+        self.active.retain(|(held, _)| *held != number);
+    }
+
+    pub fn condition(&self, from: PartyId, to: PartyId) -> Condition {
+        let mut condition = Condition::default();
+        for (_, on) in self.active.iter().filter(|(_, on)| on.lies_on(from, to)) {
+            condition.add(&on.fault);
+        }
+        condition
+    }
+
+    /// How many strikes there have been, for a connection that comes up now.
+    pub fn strikes(&self) -> usize {
+        self.struck.len()
+    }
+
+    /// The worst that has struck one direction since a count of strikes.
+    pub fn struck_since(&self, count: usize, from: PartyId, to: PartyId) -> Option<Strike> {
+        let since = self.struck.iter().skip(count).filter(|on| on.lies_on(from, to));
+        let strike = |on: &LinkFaultOn| match on.fault {
+            LinkFault::Reset => Strike::Reset,
+            _ => Strike::Silenced,
+        };
+        since.map(strike).max()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn on(from: &[u16], to: &[u16], both: bool, fault: LinkFault) -> LinkFaultOn {
+        let set = |ids: &[u16]| ids.iter().map(|id| PartyId(*id)).collect();
+        LinkFaultOn { from: set(from), to: set(to), both, fault }
+    }
+
+    const ONE: PartyId = PartyId(1);
+    const TWO: PartyId = PartyId(2);
+
+    fn delay(ms: u64) -> LinkFault {
+        LinkFault::Delay { by: Duration::from_millis(ms), jitter: Duration::from_millis(ms / 10) }
+    }
+
+    #[test]
+    fn two_faults_whose_ends_cross_leave_the_one_that_still_lasts() {
+        for first_ends in [1, 2] {
+            let mut board = Board::default();
+            board.begin(1, on(&[1], &[2], false, LinkFault::Cut));
+            board.begin(2, on(&[1], &[2], true, LinkFault::Cut));
+            board.end(first_ends);
+            assert!(board.condition(ONE, TWO).cut);
+            board.end(3 - first_ends);
+            assert_eq!(board.condition(ONE, TWO), Condition::default());
+        }
+    }
+
+    #[test]
+    fn a_one_way_fault_leaves_the_way_back_whole() {
+        let mut board = Board::default();
+        board.begin(1, on(&[1], &[2], false, LinkFault::Cut));
+        assert!(board.condition(ONE, TWO).cut);
+        assert!(!board.condition(TWO, ONE).cut);
+        assert!(!board.condition(ONE, PartyId(3)).cut);
+    }
+
+    #[rstest]
+    #[case::delays_add_up(delay(20), delay(30), Condition {
+        delay: Duration::from_millis(50), jitter: Duration::from_millis(5), ..Condition::default() })]
+    #[case::the_slowest_rate(LinkFault::Rate(500.0), LinkFault::Rate(2_000.0), Condition {
+        rate: Some(500.0), ..Condition::default() })]
+    #[case::either_loss(LinkFault::Loss(0.5), LinkFault::Loss(0.5), Condition {
+        loss: 0.75, ..Condition::default() })]
+    #[case::cut_and_slow(LinkFault::Cut, delay(10), Condition { cut: true,
+        delay: Duration::from_millis(10), jitter: Duration::from_millis(1), ..Condition::default() })]
+    fn faults_on_one_link_are_taken_together(
+        #[case] one: LinkFault,
+        #[case] other: LinkFault,
+        #[case] both: Condition,
+    ) {
+        for pair in [[one.clone(), other.clone()], [other, one]] {
+            let mut board = Board::default();
+            for (number, fault) in pair.into_iter().enumerate() {
+                board.begin(number, on(&[1], &[2], false, fault));
+            }
+            assert_eq!(board.condition(ONE, TWO), both);
+        }
+    }
+
+    #[test]
+    fn a_reset_that_is_over_before_anybody_looks_is_not_missed() {
+        let mut board = Board::default();
+        let seen = board.strikes();
+        board.begin(7, on(&[1], &[2], true, LinkFault::Reset));
+        board.end(7);
+        assert_eq!(board.struck_since(seen, TWO, ONE), Some(Strike::Reset));
+        assert_eq!(board.struck_since(seen, TWO, PartyId(3)), None);
+        assert_eq!(board.struck_since(board.strikes(), ONE, TWO), None);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,16 @@
+//! The fleet laboratory: starts many processes of the gateway in a world of its own, breaks what lies between them by
+//! a schedule that a seed has drawn, and judges what all parties saw.
+//!
+//! What decides is apart from what acts: scenarios, schedules, links, the model of the world and the checker do no I/O,
+//! read no clock and start nothing. Nothing here is linked into the gateway.
+
+pub mod check;
+pub mod condition;
+pub mod model;
+pub mod party;
+pub mod passage;
+pub mod range;
+pub mod scenario;
+pub mod schedule;
+pub mod schema;
+pub mod trace;
--- /dev/null
+++ b/crates/lab/src/party.rs
@@ -0,0 +1,167 @@
+//! Who takes part in a run, and how a scenario names them.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// What a party is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// The clients of one site.
+    Clients,
+    Gateway,
+    /// A cache.
+    Store,
+    Parent,
+    Origin,
+    /// The event bus.
+    Bus,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 6] =
+        [Kind::Clients, Kind::Gateway, Kind::Store, Kind::Parent, Kind::Origin, Kind::Bus];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Clients => "clients",
+            Kind::Gateway => "gateway",
+            Kind::Store => "store",
+            Kind::Parent => "parent",
+            Kind::Origin => "origin",
+            Kind::Bus => "bus",
+        }
+    }
+
+    /// Whether it is a process of its own, which can be killed or stopped.
+    pub fn is_process(self) -> bool {
+        self == Kind::Gateway
+    }
+}
+
+/// A party's place in the roster.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PartyId(pub u16);
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Party {
+    pub kind: Kind,
+    pub site: String,
+    /// From 1 within its kind and site.
+    pub number: usize,
+}
+
+impl fmt::Display for Party {
+    /// `gateway/east/2`
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.kind.name(), self.site, self.number)
+    }
+}
+
+/// All parties of a run, in a fixed order.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    parties: Vec<Party>,
+}
+
+impl Roster {
+    pub fn add(&mut self, kind: Kind, site: &str) -> PartyId {
+        let like = |party: &&Party| party.kind == kind && party.site == site;
+        let number = self.parties.iter().filter(like).count() + 1;
+        self.parties.push(Party { kind, site: site.into(), number });
+        PartyId((self.parties.len() - 1) as u16)
+    }
+
+    pub fn get(&self, id: PartyId) -> &Party {
+        &self.parties[usize::from(id.0)]
+    }
+
+    pub fn len(&self) -> usize {
+        self.parties.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.parties.is_empty()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (PartyId, &Party)> {
+        self.parties.iter().enumerate().map(|(at, party)| (PartyId(at as u16), party))
+    }
+
+    pub fn of(&self, kind: Kind) -> impl Iterator<Item = PartyId> {
+        self.iter().filter(move |(_, party)| party.kind == kind).map(|(id, _)| id)
+    }
+
+    /// All whom a name stands for. The words are kind, site and number; `*` is any of them, and words left out at
+    /// the end are too: `gateway`, `gateway/east`, `store/*/1`, `*/east`.
+    pub fn named(&self, name: &str) -> Result<BTreeSet<PartyId>, String> {
+        let words: Vec<&str> = name.split('/').collect();
+        if words.len() > 3 || words.iter().any(|word| word.is_empty()) {
+            return Err(format!("{name:?} is no name like \"gateway/east/2\", \"store/*/1\" or \"*/east\""));
+        }
+        let fits = |party: &Party| {
+            let own = [party.kind.name().to_string(), party.site.clone(), party.number.to_string()];
+            words.iter().zip(&own).all(|(word, own)| *word == "*" || word == own)
+        };
+        let found: BTreeSet<PartyId> =
+            self.iter().filter(|(_, party)| fits(party)).map(|(id, _)| id).collect();
+        if found.is_empty() { Err(self.unknown(name, &words)) } else { Ok(found) }
+    }
+
+    /// Which word of a name nobody has.
+    fn unknown(&self, name: &str, words: &[&str]) -> String {
+        let kinds: Vec<&str> = Kind::ALL.iter().map(|kind| kind.name()).collect();
+        let of_kind: Vec<&Party> =
+            self.parties.iter().filter(|party| words[0] == "*" || party.kind.name() == words[0]).collect();
+        if words[0] != "*" && !kinds.contains(&words[0]) {
+            return format!("{name:?}: {:?} is none of {}", words[0], kinds.join(", "));
+        }
+        let sites: BTreeSet<&str> = of_kind.iter().map(|party| party.site.as_str()).collect();
+        if words.len() > 1 && words[1] != "*" && !sites.contains(words[1]) {
+            let sites: Vec<&str> = sites.into_iter().collect();
+            return format!("{name:?}: there are {} at {} alone", words[0], sites.join(", "));
+        }
+        format!("{name:?} stands for nobody: the fleet has no such party")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    fn roster() -> Roster {
+        let mut roster = Roster::default();
+        for site in ["east", "west"] {
+            roster.add(Kind::Gateway, site);
+            roster.add(Kind::Gateway, site);
+            roster.add(Kind::Store, site);
+        }
+        roster.add(Kind::Origin, "hub");
+        roster
+    }
+
+    #[rstest]
+    #[case::kind("gateway", &["gateway/east/1", "gateway/east/2", "gateway/west/1", "gateway/west/2"])]
+    #[case::site("gateway/west", &["gateway/west/1", "gateway/west/2"])]
+    #[case::one("store/east/1", &["store/east/1"])]
+    #[case::any_site("gateway/*/2", &["gateway/east/2", "gateway/west/2"])]
+    #[case::whole_site("*/east", &["gateway/east/1", "gateway/east/2", "store/east/1"])]
+    fn names_stand_for_parties(#[case] name: &str, #[case] whom: &[&str]) {
+        let roster = roster();
+        let found: Vec<String> =
+            roster.named(name).unwrap().iter().map(|id| roster.get(*id).to_string()).collect();
+        assert_eq!(found, whom);
+    }
+
+    #[rstest]
+    #[case::kind("gatway", "\"gatway\" is none of clients, gateway")]
+    #[case::site("gateway/north", "gateway at east, west alone")]
+    #[case::number("store/east/2", "stands for nobody")]
+    #[case::long("store/east/1/2", "no name like")]
+    #[case::empty_word("store//1", "no name like")]
+    fn a_name_that_nobody_has_is_told(#[case] name: &str, #[case] says: &str) {
+        let told = roster().named(name).unwrap_err();
+        assert!(told.contains(says), "{told}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/schedule.rs
@@ -0,0 +1,216 @@
+//! The schedule of a run: every fault with its begin, end and those it befalls, drawn from a scenario by a seed
+//! before anything starts.
+
+use crate::condition::{LinkFault, LinkFaultOn};
+use crate::party::PartyId;
+use crate::scenario::{Blow, FaultSpec, LinkKind, Scenario, What};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// What is done, with nothing left to chance but single pieces and datagrams.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    Link(LinkFaultOn),
+    Process { whom: PartyId, blow: Blow },
+    Crash { whom: PartyId },
+    Drain { whom: PartyId },
+    LateBus { whom: PartyId, by: Duration },
+    Purge { group: u8 },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Planned {
+    /// Its place in the schedule; begins and ends are told by it.
+    pub number: usize,
+    /// The place of its phase.
+    pub phase: usize,
+    /// From the run's begin.
+    pub begins: Duration,
+    /// Never before the begin.
+    pub ends: Duration,
+    pub deed: Deed,
+}
+
+/// A moment at which something begins or ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Turn {
+    pub at: Duration,
+    pub number: usize,
+    pub begins: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Schedule {
+    pub planned: Vec<Planned>,
+}
+
+fn some_of(whom: &BTreeSet<PartyId>, pick: Option<usize>, random: &mut impl Rng) -> BTreeSet<PartyId> {
+    let all: Vec<PartyId> = whom.iter().copied().collect();
+    match pick {
+        Some(pick) => all.choose_multiple(random, pick).copied().collect(),
+        None => all.into_iter().collect(),
+    }
+}
+
+fn link_fault(kind: &LinkKind, random: &mut impl Rng) -> LinkFault {
+    match kind {
+        LinkKind::Cut => LinkFault::Cut,
+        LinkKind::Silence => LinkFault::Silence,
+        LinkKind::Reset => LinkFault::Reset,
+        LinkKind::Stall => LinkFault::Stall,
+        LinkKind::Delay { by, jitter } => {
+            LinkFault::Delay { by: by.draw(random), jitter: jitter.draw(random) }
+        }
+        LinkKind::Rate(range) => LinkFault::Rate(range.draw(random)),
+        LinkKind::Corrupt(range) => LinkFault::Corrupt(range.draw(random)),
+        LinkKind::Loss(range) => LinkFault::Loss(range.draw(random)),
+        LinkKind::Duplicate(range) => LinkFault::Duplicate(range.draw(random)),
+        LinkKind::Reorder(range) => LinkFault::Reorder(range.draw(random)),
+    }
+}
+
+/// What one entry does, once its parties have been drawn.
+fn deeds(spec: &FaultSpec, random: &mut impl Rng) -> Vec<Deed> {
+    let each = |who: &BTreeSet<PartyId>, random: &mut Pcg64Mcg, deed: &dyn Fn(PartyId) -> Deed| {
+        some_of(who, spec.pick, random).into_iter().map(deed).collect()
+    };
+    // A generator of its own, so that one more draw in one entry moves no other.
+    let mut own = Pcg64Mcg::seed_from_u64(random.random());
+    match &spec.what {
+        What::Link { from, to, both, kind } => {
+            let from = some_of(from, spec.pick, &mut own);
+            let fault = link_fault(kind, &mut own);
+            vec![Deed::Link(LinkFaultOn { from, to: to.clone(), both: *both, fault })]
+        }
+        What::Process { who, blow } => each(who, &mut own, &|whom| Deed::Process { whom, blow: *blow }),
+        What::Crash { who } => each(who, &mut own, &|whom| Deed::Crash { whom }),
+        What::Drain { who } => each(who, &mut own, &|whom| Deed::Drain { whom }),
+        What::LateBus { who, by } => {
+            let by = by.draw(&mut own);
+            each(who, &mut own, &|whom| Deed::LateBus { whom, by })
+        }
+        What::Purge { group } => vec![Deed::Purge { group: group.unwrap_or_else(|| own.random()) }],
+    }
+}
+
+impl Schedule {
+    pub fn draw(scenario: &Scenario, seed: u64) -> Schedule {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let (mut planned, mut phase_begins) = (Vec::new(), Duration::ZERO);
+        for (place, phase) in scenario.phases.iter().enumerate() {
+            let phase_ends = phase_begins + phase.lasts;
+            for spec in &phase.faults {
+                for _ in 0..spec.times {
+                    let mut own = Pcg64Mcg::seed_from_u64(random.random());
+                    let begins = phase_begins + spec.at.draw(&mut own);
+                    let lasts = spec.lasts.map(|lasts| lasts.draw(&mut own));
+                    let ends = lasts.map_or(phase_ends, |lasts| begins + lasts).max(begins);
+                    for deed in deeds(spec, &mut own) {
+                        planned.push(Planned { number: planned.len(), phase: place, begins, ends, deed });
+                    }
+                }
+            }
+            phase_begins = phase_ends;
+        }
+        Schedule { planned }
+    }
+
+    /// All begins and ends in order; what ends goes before what begins at the same moment.
+    pub fn turns(&self) -> Vec<Turn> {
+        let both = |plan: &Planned| {
+            let turn = |at, begins| Turn { at, number: plan.number, begins };
+            let lasts = !matches!(plan.deed, Deed::Purge { .. } | Deed::Process { blow: Blow::Hup, .. });
+            [Some(turn(plan.begins, true)), lasts.then(|| turn(plan.ends, false))]
+        };
+        let mut turns: Vec<Turn> = self.planned.iter().flat_map(both).flatten().collect();
+        // An end goes before other begins of its moment, but never before its own begin.
+        let empty = |turn: &Turn| self.planned[turn.number].begins == self.planned[turn.number].ends;
+        turns.sort_by_key(|turn| (turn.at, !turn.begins && empty(turn), turn.begins, turn.number));
+        turns
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use sagearch_operators::OneFile;
+
+    const TEXT: &str = r#"
+        fleet {
+            site "east" gateways=6 stores=3
+            site "west" gateways=6 stores=3
+        }
+        load rate=50
+        phase "first" for="4s" {
+            fault "kill" who="gateway" pick=3 at="0s..2s" for="500ms..3s" times=2
+            fault "delay" from="gateway/east" to="store" by="10ms..90ms" jitter="5ms" at="1s" for="1s"
+            fault "purge" at="1s..3s" times=3
+        }
+        phase "second" for="6s" {
+            fault "cut" from="gateway/east" to="store/west,parent" both=#true at="1s..5s"
+            fault "late-bus" who="gateway/west" by="1s..2s"
+        }
+    "#;
+
+    fn scenario() -> Scenario {
+        crate::scenario::read("s.kdl", &OneFile { name: "s.kdl", text: TEXT }).unwrap()
+    }
+
+    #[test]
+    fn a_seed_draws_the_same_schedule_again_and_another_one_another() {
+        let scenario = scenario();
+        assert_eq!(Schedule::draw(&scenario, 7), Schedule::draw(&scenario, 7));
+        assert_ne!(Schedule::draw(&scenario, 7), Schedule::draw(&scenario, 8));
+    }
+
+    #[test]
+    fn a_fault_without_an_end_lasts_as_long_as_its_phase() {
+        let schedule = Schedule::draw(&scenario(), 1);
+        let cut = schedule.planned.iter().find(|plan| matches!(plan.deed, Deed::Link(_)) && plan.phase == 1);
+        assert_eq!(cut.unwrap().ends, Duration::from_secs(10));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn what_is_drawn_lies_within_its_ranges(seed: u64) {
+            let (scenario, s) = (scenario(), Duration::from_secs);
+            let schedule = Schedule::draw(&scenario, seed);
+            let kills: Vec<&Planned> = schedule.planned.iter()
+                .filter(|plan| matches!(plan.deed, Deed::Process { blow: Blow::Kill, .. })).collect();
+            prop_assert_eq!(kills.len(), 6);
+            for kill in kills {
+                prop_assert!(kill.begins <= s(2));
+                let lasts = kill.ends - kill.begins;
+                prop_assert!(lasts >= s(1) / 2 && lasts <= s(3));
+            }
+            for (number, plan) in schedule.planned.iter().enumerate() {
+                prop_assert_eq!(plan.number, number);
+                prop_assert!(plan.ends >= plan.begins && plan.begins < scenario.lasts());
+            }
+        }
+
+        #[test]
+        fn every_begin_has_its_end_after_it(seed: u64) {
+            let schedule = Schedule::draw(&scenario(), seed);
+            let mut open = std::collections::BTreeSet::new();
+            let mut before = Duration::ZERO;
+            for turn in schedule.turns() {
+                prop_assert!(turn.at >= before);
+                before = turn.at;
+                if turn.begins {
+                    if !matches!(schedule.planned[turn.number].deed, Deed::Purge { .. }) {
+                        prop_assert!(open.insert(turn.number));
+                    }
+                } else {
+                    prop_assert!(open.remove(&turn.number));
+                }
+            }
+            prop_assert!(open.is_empty());
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/schema.rs
@@ -0,0 +1,185 @@
+//! What may stand in a scenario: tables for the reader of the operators' language.
+
+use sagearch_operators::schema::Kind::{Flag, Number, Span, Text, Word};
+use sagearch_operators::schema::Without::{Default, Fault, Nothing};
+use sagearch_operators::schema::{Kind, Property, Rule, Values, Without};
+
+const SECOND: u64 = 1_000;
+const HOUR: u64 = 3_600 * SECOND;
+
+/// Kinds of faults, as a scenario names them.
+pub const FAULTS: &[&str] = &[
+    "cut",
+    "silence",
+    "reset",
+    "stall",
+    "delay",
+    "rate",
+    "corrupt",
+    "loss",
+    "duplicate",
+    "reorder",
+    "kill",
+    "stop",
+    "term",
+    "hup",
+    "crash",
+    "drain",
+    "late-bus",
+    "purge",
+];
+
+const fn property(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Property {
+    Property { name, kind, without, about }
+}
+
+const fn node(
+    name: &'static str,
+    values: Values,
+    properties: &'static [Property],
+    children: &'static [&'static Rule],
+    many: bool,
+    about: &'static str,
+) -> Rule {
+    Rule { name, about, values, properties, children, many, without: Nothing }
+}
+
+static SITE: Rule = node(
+    "site",
+    Values::One(Text, "the site's name"),
+    &[
+        property("gateways", Number(0, 400), Fault, "processes of the gateway"),
+        property("stores", Number(0, 200), Fault, "caches"),
+        property(
+            "distance",
+            Span(0, 10 * SECOND),
+            Default("2ms"),
+            "there and back to the parents and the origin",
+        ),
+    ],
+    &[],
+    true,
+    "a site with its gateways and caches",
+);
+
+static FLEET: Rule = node(
+    "fleet",
+    Values::None,
+    &[
+        property("parents", Number(0, 50), Default("2"), "parent caches, which fill from the origin"),
+        property("settings", Text, Nothing, "a file with the settings object; else the laboratory's own"),
+    ],
+    &[&SITE],
+    false,
+    "who takes part",
+);
+
+static MODEL: Rule = node(
+    "model",
+    Values::None,
+    &[
+        property("slots", Number(1, 10_000), Default("8"), "requests that a cache works on at a time"),
+        property("room", Number(0, 100_000), Default("32"), "requests that wait at a cache for a slot"),
+        property("service", Span(0, 10 * SECOND), Default("4ms"), "mean work of a request at a cache"),
+        property("link", Number(1, 10_000_000), Default("40000"), "KB a second of a cache's link"),
+        property("copies", Number(1, 1_000_000), Default("2000"), "objects' parts that a cache keeps"),
+        property("parent-slots", Number(1, 10_000), Default("32"), "the same of a parent"),
+        property("origin-slots", Number(1, 10_000), Default("64"), "the same of the origin"),
+        property(
+            "origin-service",
+            Span(0, 10 * SECOND),
+            Default("20ms"),
+            "mean work of a request at the origin",
+        ),
+        property(
+            "origin-rate",
+            Number(1, 1_000_000),
+            Default("100000"),
+            "requests a second that the origin takes",
+        ),
+        property("warm-up", Span(1, HOUR), Default("10s"), "until a cache that has started bears all"),
+        property(
+            "cold-from",
+            Number(1, 100),
+            Default("20"),
+            "percent of its slots that a cache has as it starts",
+        ),
+    ],
+    &[],
+    false,
+    "what caches, parents and the origin are like",
+);
+
+static LOAD: Rule = node(
+    "load",
+    Values::None,
+    &[
+        property("rate", Number(1, 100_000), Fault, "requests a second, all sites together"),
+        property("objects", Number(1, 10_000_000), Default("1000"), "objects that are asked for again"),
+        property("skew", Number(0, 300), Default("90"), "percent: Zipf's exponent"),
+        property(
+            "once",
+            Number(0, 100),
+            Default("10"),
+            "percent of requests for objects that nobody asks for again",
+        ),
+        property("parts", Number(1, 100), Default("3"), "parts of an object, asked for in order"),
+        property("drift", Span(1, HOUR), Default("1m"), "how long the most wanted objects stay the same"),
+        property("writes", Number(0, 100), Default("4"), "percent of requests with a key, at the origin"),
+        property("payments", Number(0, 100), Default("2"), "percent of requests that must not run twice"),
+        property("size", Number(1, 200), Default("8"), "KB of a part on the wire"),
+        property("patience", Span(100, 60 * SECOND), Default("2s"), "how long a client waits"),
+        property("tries", Number(1, 10), Default("3"), "tries of a client, the first included"),
+    ],
+    &[],
+    false,
+    "what clients ask for: an open loop, drawn ahead",
+);
+
+static FAULT: Rule = node(
+    "fault",
+    Values::One(Word(FAULTS), "the kind"),
+    &[
+        property("from", Text, Nothing, "parties whose bytes it befalls"),
+        property("to", Text, Nothing, "those the bytes go to"),
+        property("both", Flag, Default("#false"), "on what goes back, too"),
+        property("who", Text, Nothing, "parties it befalls"),
+        property("pick", Number(1, 1_000), Nothing, "so many of them, drawn"),
+        property("times", Number(1, 1_000), Default("1"), "how often it comes, each drawn anew"),
+        property("at", Text, Default("0s"), "from the phase's begin: a time or a range, \"1s..3s\""),
+        property("for", Text, Nothing, "how long: a time or a range; else to the phase's end"),
+        property("by", Text, Nothing, "a delay: a time or a range"),
+        property("jitter", Text, Nothing, "up to this much more: a time or a range"),
+        property("share", Text, Nothing, "of pieces or datagrams: \"2%\" or \"1%..5%\""),
+        property("rate", Text, Nothing, "bytes a second: \"20kB\" or \"10kB..1MB\""),
+        property("group", Number(0, 255), Nothing, "the group of objects that is purged"),
+    ],
+    &[],
+    true,
+    "what goes wrong, whom it befalls, when and for how long",
+);
+
+static EXPECT: Rule = node(
+    "expect",
+    Values::None,
+    &[
+        property("served", Number(0, 100), Nothing, "percent of requests that are served at least"),
+        property("failed", Number(0, 100), Nothing, "percent of requests that fail at most"),
+        property("within", Span(1, 60 * SECOND), Nothing, "99 of 100 answers are there by then"),
+    ],
+    &[],
+    false,
+    "what must hold of requests that come in this phase",
+);
+
+static PHASE: Rule = node(
+    "phase",
+    Values::One(Text, "its name"),
+    &[property("for", Span(100, HOUR), Fault, "how long")],
+    &[&FAULT, &EXPECT],
+    true,
+    "a part of the run",
+);
+
+pub static SCENARIO: Rule =
+    node("scenario", Values::None, &[], &[&FLEET, &MODEL, &LOAD, &PHASE], false, "a scenario");
--- /dev/null
+++ b/crates/lab/src/trace.rs
@@ -0,0 +1,142 @@
+//! What each party saw, with the time of one clock: microseconds from the run's begin.
+
+use crate::party::PartyId;
+use serde::{Deserialize, Serialize};
+
+pub type Micros = u64;
+
+/// How a class may be sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    Free,
+    Keyed,
+    Once,
+}
+
+/// A body, as it says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Body {
+    pub object: String,
+    pub part: String,
+    pub version: u64,
+    /// When the origin gave it out.
+    pub made: Micros,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Word {
+    Ok,
+    Current,
+    Nothing,
+    Refused,
+    Error,
+    Stale,
+}
+
+impl Word {
+    /// Whether it proves that the request never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Word::Nothing | Word::Refused | Word::Stale)
+    }
+}
+
+/// What the event bus says of a store or of copies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Change {
+    Up { store: PartyId, started: Option<Micros> },
+    Draining { store: PartyId },
+    Removed { store: PartyId },
+    Purge { group: u8 },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Life {
+    Started,
+    Ready,
+    /// A fault has ended or stopped it.
+    Struck,
+    /// It has ended, and no fault had asked for that.
+    Died,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "what")]
+pub enum What {
+    /// A client has written the last byte of a request.
+    Asked {
+        id: u64,
+        gateway: PartyId,
+        clients: PartyId,
+        effect: Effect,
+        object: String,
+        part: String,
+        wait: Micros,
+        /// The oldest copy that the class allows. None: nothing of it is kept.
+        fresh: Option<Micros>,
+    },
+    /// A whole answer has come. No body: it was not 200.
+    Answered {
+        id: u64,
+        status: u16,
+        retry_after: bool,
+        body: Option<Body>,
+        whole: bool,
+    },
+    /// The connection ended without a whole answer.
+    Broke {
+        id: u64,
+    },
+    /// The client has waited as long as it said.
+    Left {
+        id: u64,
+    },
+    /// A request has come whole to a store. `sent`: when its first byte left the gateway.
+    Arrived {
+        id: u64,
+        attempt: u64,
+        gateway: PartyId,
+        store: PartyId,
+        sent: Micros,
+    },
+    /// The store has begun to write its answer.
+    Ended {
+        attempt: u64,
+        word: Word,
+    },
+    /// Given up by the gateway, which sent that word at `sent`; or its connection has closed.
+    GivenUp {
+        attempt: u64,
+        sent: Micros,
+    },
+    /// The store died with it.
+    Lost {
+        attempt: u64,
+    },
+    /// It stands in the event bus.
+    Stands {
+        change: Change,
+    },
+    /// A store was sent too much while it was cold, and has died of it.
+    Fell {
+        store: PartyId,
+    },
+    Process {
+        whom: PartyId,
+        life: Life,
+    },
+    Fault {
+        number: usize,
+        begins: bool,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Seen {
+    pub at: Micros,
+    #[serde(flatten)]
+    pub what: What,
+}
