--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,11 +44,11 @@
 const WEIGHTS_OFF: f64 = 2.0;
 /// Pace of hits from which it counts as a sign of full links, whatever is told of their sizes.
 const STRETCH_SEEN: f64 = 1.25;
-/// Wait of fills over what their requests can spare from which misses are held back, to all (fills that wait
-/// for all of it come late), but never more.
+/// Wait of fills over what their requests can spare from which misses are held back, to all, but never more:
+/// what is held back teaches nothing, and on a short burst would be held back too long.
 const MISS_SHED_FROM: f64 = 0.4;
-const MISS_SHED_ALL: f64 = 1.0;
-const MISS_SHED_MOST: f64 = 0.95;
+const MISS_SHED_ALL: f64 = 1.7;
+const MISS_SHED_MOST: f64 = 0.8;
 /// Fills that must be out for what they have waited so far to count.
 const FILLS_TELL: f64 = 3.0;
 /// A failed fill counts as this multiple of what its request could spare, and none as more.
@@ -885,7 +885,7 @@
         }
         let weight = if late { attempt.likely * attempt.likely } else { 1.0 };
         let waited = attempt.took - open.work;
-        let ratio = if failed { FAILED_WAIT } else { (waited / self.spared(open)).min(FAILED_WAIT) };
+        let ratio = if failed { FAILED_WAIT } else { (waited / self.spared(open)).clamp(0.0, FAILED_WAIT) };
         self.learned.tells_origin |= attempt.detail == Detail::FilledByOrigin;
         let held = attempt.looked || (self.learned.tells_origin && attempt.detail == Detail::Filled);
         let of_fills = if late && self.silent_since(attempt) { 0 } else { 1 + usize::from(held) };
