--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,13 @@
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build:
 	cargo build --release --locked
 
+# Two sites and six gateways, of which a cache, a link and a site are lost; under 90 s, and ends with the report's path.
+demo: build
+	cargo build --release --locked -p sagearch-lab
+	target/release/sagearch-lab run crates/lab/scenarios/demo.kdl
+
 test:
 	cargo test --locked --workspace
 
--- a/crates/lab/src/act/clients.rs
+++ b/crates/lab/src/act/clients.rs
@@ -193,6 +193,25 @@
         lock(&self.outcomes).clone()
     }
 
+    /// How many requests have ended by now: served, refused, and all others.
+    pub fn counts(&self) -> [usize; 3] {
+        let mut counts = [0; 3];
+        for one in lock(&self.outcomes).iter() {
+            let place = match one.ending {
+                Ending::Served => 0,
+                Ending::Refused => 1,
+                _ => 2,
+            };
+            counts[place] += 1;
+        }
+        counts
+    }
+
+    /// How many gateways the front sends clients to.
+    pub fn alive(&self) -> usize {
+        self.gateways.iter().filter(|gateway| gateway.alive.load(Ordering::Relaxed)).count()
+    }
+
     /// How late 99 of 100 requests were begun, in microseconds.
     pub fn lateness(&self) -> u64 {
         lock(&self.late).value_at_quantile(0.99)
--- /dev/null
+++ b/crates/lab/src/act/datagrams.rs
@@ -0,0 +1,203 @@
+//! Datagrams between gateways: one socket relays all of them.
+//!
+//! A gateway is told an address of each other one in which that one's number stands, and one that stands for all. The
+//! relay sees from whose address a datagram came and to which it went, and hands it on from the sender's address in that
+//! list, so that who gets it knows the sender.
+
+use super::links::Links;
+use super::net::Net;
+use crate::party::PartyId;
+use crate::passage;
+use nix::cmsg_space;
+use nix::libc::{in_addr, in_pktinfo};
+use nix::sys::socket::{
+    ControlMessage, ControlMessageOwned, MsgFlags, SockaddrIn, recvmsg, sendmsg, setsockopt, sockopt,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, IoSlice, IoSliceMut};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::os::fd::AsRawFd;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::io::Interest;
+use tokio::net::UdpSocket;
+
+/// The longest that gateways may send.
+const LONGEST: usize = 256;
+/// The port at which a gateway hears.
+const HEARS: u16 = 7_946;
+/// Datagrams that are held for later delivery; beyond, one is lost, as in a full buffer.
+const HELD: u64 = 100_000;
+
+pub struct Datagrams {
+    socket: UdpSocket,
+    port: u16,
+    net: Arc<Net>,
+    links: Arc<Links>,
+    gateways: Vec<PartyId>,
+    held: AtomicU64,
+    /// Those that were longer than may be.
+    pub too_long: AtomicU64,
+}
+
+fn nix(error: nix::errno::Errno) -> io::Error {
+    io::Error::from_raw_os_error(error as i32)
+}
+
+impl Datagrams {
+    pub fn start(
+        net: Arc<Net>,
+        links: Arc<Links>,
+        gateways: Vec<PartyId>,
+        seed: u64,
+    ) -> io::Result<Arc<Datagrams>> {
+        let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+        // Without it the port would be open to other machines.
+        socket.bind_device(Some(b"lo"))?;
+        socket.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0)).into())?;
+        socket.set_nonblocking(true)?;
+        setsockopt(&socket, sockopt::Ipv4PacketInfo, &true).map_err(nix)?;
+        let socket = UdpSocket::from_std(socket.into())?;
+        let port = socket.local_addr()?.port();
+        let (held, too_long) = (AtomicU64::new(0), AtomicU64::new(0));
+        let relay = Arc::new(Datagrams { socket, port, net, links, gateways, held, too_long });
+        let relaying = relay.clone();
+        tokio::spawn(async move { relaying.relay(Pcg64Mcg::seed_from_u64(seed)).await });
+        Ok(relay)
+    }
+
+    /// Where a gateway itself hears.
+    pub fn hears(&self, gateway: PartyId) -> SocketAddr {
+        (self.net.ip(gateway), HEARS).into()
+    }
+
+    /// A gateway's address as all others know it.
+    pub fn peer(&self, gateway: PartyId) -> SocketAddr {
+        (self.net.ip(gateway), self.port).into()
+    }
+
+    /// The address that stands for all.
+    pub fn all(&self) -> SocketAddr {
+        (self.net.everybody(), self.port).into()
+    }
+
+    /// Takes one datagram, with who sent it and to which address.
+    fn take(&self, bytes: &mut [u8]) -> io::Result<(usize, Option<PartyId>, Ipv4Addr)> {
+        let mut room = cmsg_space!(in_pktinfo);
+        let mut slices = [IoSliceMut::new(bytes)];
+        let came = recvmsg::<SockaddrIn>(
+            self.socket.as_raw_fd(),
+            &mut slices,
+            Some(&mut room),
+            MsgFlags::MSG_DONTWAIT | MsgFlags::MSG_TRUNC,
+        )
+        .map_err(nix)?;
+        let sender = came.address.and_then(|at| self.net.party(at.ip()));
+        let to = came.cmsgs().map_err(nix)?.find_map(|message| match message {
+            ControlMessageOwned::Ipv4PacketInfo(info) => {
+                Some(Ipv4Addr::from(u32::from_be(info.ipi_addr.s_addr)))
+            }
+            _ => None,
+        });
+        Ok((came.bytes, sender, to.unwrap_or(Ipv4Addr::UNSPECIFIED)))
+    }
+
+    /// Hands one on from the sender's address in the list of peers.
+    fn give(&self, bytes: &[u8], from: PartyId, to: PartyId) -> io::Result<()> {
+        let SocketAddr::V4(at) = self.hears(to) else { return Ok(()) };
+        let address = in_addr { s_addr: u32::from(self.net.ip(from)).to_be() };
+        let info = in_pktinfo { ipi_ifindex: 0, ipi_spec_dst: address, ipi_addr: in_addr { s_addr: 0 } };
+        let to = SockaddrIn::from(SocketAddrV4::new(*at.ip(), at.port()));
+        let messages = [ControlMessage::Ipv4PacketInfo(&info)];
+        let slices = [IoSlice::new(bytes)];
+        sendmsg(self.socket.as_raw_fd(), &slices, &messages, MsgFlags::MSG_DONTWAIT, Some(&to))
+            .map_err(nix)?;
+        Ok(())
+    }
+
+    async fn relay(self: Arc<Self>, mut random: Pcg64Mcg) {
+        let mut bytes = [0; LONGEST + 1];
+        loop {
+            let taken = self.socket.async_io(Interest::READABLE, || self.take(&mut bytes)).await;
+            let Ok((length, Some(from), to)) = taken else { continue };
+            if length > LONGEST {
+                self.too_long.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+            let whom: Vec<PartyId> = if to == self.net.everybody() {
+                self.gateways.clone()
+            } else {
+                self.net.party(to).into_iter().filter(|to| self.gateways.contains(to)).collect()
+            };
+            for to in whom {
+                let link = self.links.condition(from, to);
+                for after in passage::datagram(&link, &mut random) {
+                    if after.is_zero() {
+                        // One that can't be handed on is lost, as datagrams may be.
+                        let _ = self.give(&bytes[..length], from, to);
+                        continue;
+                    }
+                    if self.held.fetch_add(1, Ordering::Relaxed) >= HELD {
+                        self.held.fetch_sub(1, Ordering::Relaxed);
+                        continue;
+                    }
+                    let (relay, copy) = (self.clone(), bytes[..length].to_vec());
+                    tokio::spawn(async move {
+                        tokio::time::sleep(after).await;
+                        relay.held.fetch_sub(1, Ordering::Relaxed);
+                        let _ = relay.give(&copy, from, to);
+                    });
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::condition::{LinkFault, LinkFaultOn};
+    use std::time::Duration;
+    use tokio::time::{Instant, timeout};
+
+    async fn hear(socket: &UdpSocket) -> Option<(Vec<u8>, SocketAddr)> {
+        let mut bytes = [0; 512];
+        let (length, from) =
+            timeout(Duration::from_millis(300), socket.recv_from(&mut bytes)).await.ok()?.ok()?;
+        Some((bytes[..length].to_vec(), from))
+    }
+
+    #[tokio::test]
+    async fn datagrams_go_by_the_faults_on_their_link_and_name_their_sender() {
+        let [one, two, three] = [PartyId(1), PartyId(2), PartyId(3)];
+        let (net, links) = (Arc::new(Net::take().unwrap()), Links::new(Instant::now(), 1));
+        let relay = Datagrams::start(net, links.clone(), vec![one, two, three], 1).unwrap();
+        let mut sockets = Vec::new();
+        for id in [one, two, three] {
+            sockets.push(UdpSocket::bind(relay.hears(id)).await.unwrap());
+        }
+        sockets[0].send_to(b"hello", relay.peer(two)).await.unwrap();
+        assert_eq!(hear(&sockets[1]).await, Some((b"hello".to_vec(), relay.peer(one))));
+        sockets[1].send_to(b"all", relay.all()).await.unwrap();
+        for socket in &sockets {
+            assert_eq!(hear(socket).await, Some((b"all".to_vec(), relay.peer(two))));
+        }
+        let fault = |number, fault| {
+            let on = LinkFaultOn { from: [one].into(), to: [two].into(), both: false, fault };
+            links.begin_fault(number, on);
+        };
+        fault(1, LinkFault::Loss(1.0));
+        sockets[0].send_to(b"lost", relay.peer(two)).await.unwrap();
+        assert_eq!(hear(&sockets[1]).await, None);
+        links.end_fault(1);
+        fault(2, LinkFault::Duplicate(1.0));
+        sockets[0].send_to(b"twice", relay.peer(two)).await.unwrap();
+        assert!(hear(&sockets[1]).await.is_some() && hear(&sockets[1]).await.is_some());
+        links.end_fault(2);
+        sockets[0].send_to(&[7; 300], relay.peer(two)).await.unwrap();
+        assert_eq!(hear(&sockets[1]).await, None);
+        assert_eq!(relay.too_long.load(Ordering::Relaxed), 1);
+    }
+}
--- a/crates/lab/src/act/fleet.rs
+++ b/crates/lab/src/act/fleet.rs
@@ -1,6 +1,7 @@
 //! The gateways' processes: each with its own configuration, folder, address and log, and none that outlives the run.
 
 use super::bus::Bus;
+use super::datagrams::Datagrams;
 use super::links::{Links, accept};
 use super::net::{Net, Port};
 use super::recorder::Recorder;
@@ -60,6 +61,7 @@
     plan: Plan,
     net: Arc<Net>,
     bus: Arc<Bus>,
+    datagrams: Arc<Datagrams>,
     recorder: Recorder,
     roster: Roster,
     starts: AtomicU64,
@@ -100,10 +102,13 @@
     fn configure(&self, id: PartyId, folder: &Path) -> io::Result<PathBuf> {
         let start = self.starts.fetch_add(1, Ordering::Relaxed);
         let seed = self.plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(start);
+        let peers = self.roster.of(Kind::Gateway).map(|peer| self.datagrams.peer(peer).to_string());
+        let peers: Vec<String> = peers.collect();
         let config = json!({
             "name": self.name(id), "listen": self.net.gateway(id).to_string(), "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS},
-            "bus": self.bus.address(id), "known": self.bus.known(id),
+            "peer_listen": self.datagrams.hears(id).to_string(), "peers": peers,
+            "peers_all": self.datagrams.all().to_string(), "bus": self.bus.address(id), "known": self.bus.known(id),
             "settings": self.plan.settings[&self.roster.get(id).site],
         });
         let path = folder.join("config.json");
@@ -264,7 +269,9 @@
         recorder: Recorder,
     ) -> io::Result<Fleet> {
         let (roster, starts) = (roster.clone(), AtomicU64::new(0));
-        let shared = Arc::new(Shared { plan, net, bus, recorder, roster, starts });
+        let gateways = roster.of(Kind::Gateway).collect();
+        let datagrams = Datagrams::start(net.clone(), links.clone(), gateways, plan.seed)?;
+        let shared = Arc::new(Shared { plan, net, bus, datagrams, recorder, roster, starts });
         let (mut gateways, mut tasks) = (BTreeMap::new(), Vec::new());
         let ids: Vec<PartyId> = shared.roster.of(Kind::Gateway).collect();
         for id in ids {
--- a/crates/lab/src/act/mod.rs
+++ b/crates/lab/src/act/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bus;
 pub mod clients;
+pub mod datagrams;
 pub mod fleet;
 pub mod links;
 pub mod net;
--- a/crates/lab/src/act/net.rs
+++ b/crates/lab/src/act/net.rs
@@ -41,6 +41,11 @@
         Ipv4Addr::new(127, self.run, (party.0 / 250) as u8, (party.0 % 250 + 1) as u8)
     }
 
+    /// The address that stands for all gateways.
+    pub fn everybody(&self) -> Ipv4Addr {
+        Ipv4Addr::new(127, self.run, 255, 253)
+    }
+
     /// Who has an address.
     pub fn party(&self, at: Ipv4Addr) -> Option<PartyId> {
         let [net, run, high, low] = at.octets();
--- a/crates/lab/src/act/recorder.rs
+++ b/crates/lab/src/act/recorder.rs
@@ -2,6 +2,7 @@
 
 use super::links::Links;
 use crate::check::Checker;
+use crate::tally::Tally;
 use crate::trace::{Micros, Seen, What};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -54,11 +55,16 @@
 pub struct Recording {
     pub recorder: Recorder,
     stop: oneshot::Sender<()>,
-    judged: tokio::task::JoinHandle<(Checker, u64)>,
+    judged: tokio::task::JoinHandle<(Checker, Tally, u64)>,
 }
 
 /// Begins a trace, which is written to a file as well.
-pub fn begin(links: Arc<Links>, mut checker: Checker, mut file: impl Write + Send + 'static) -> Recording {
+pub fn begin(
+    links: Arc<Links>,
+    mut checker: Checker,
+    mut tally: Tally,
+    mut file: impl Write + Send + 'static,
+) -> Recording {
     let (to, mut from) = mpsc::unbounded_channel::<Seen>();
     let clock = links.clone();
     let (stop, mut stops) = oneshot::channel();
@@ -66,6 +72,7 @@
         let (mut waiting, mut came, mut entries) = (BinaryHeap::new(), 0, 0);
         let mut take = |seen: Seen, checker: &mut Checker| {
             checker.see(&seen);
+            tally.see(&seen);
             entries += 1;
             if let Ok(line) = serde_json::to_string(&seen) {
                 let _ = writeln!(file, "{line}");
@@ -95,14 +102,14 @@
                 }
             }
         }
-        (checker, entries)
+        (checker, tally, entries)
     });
     Recording { recorder: Recorder { to, links }, stop, judged }
 }
 
 impl Recording {
     /// The checker, once it has seen all that was told so far, and how many entries those were.
-    pub async fn finish(self) -> Option<(Checker, u64)> {
+    pub async fn finish(self) -> Option<(Checker, Tally, u64)> {
         let _ = self.stop.send(());
         self.judged.await.ok()
     }
--- a/crates/lab/src/act/run.rs
+++ b/crates/lab/src/act/run.rs
@@ -15,9 +15,11 @@
 use crate::model::world::Spec;
 use crate::outcome::{Figures, figures};
 use crate::party::{Kind, PartyId};
+use crate::picture;
 use crate::scenario::Scenario;
 use crate::schedule::{Deed, Schedule, Turn};
 use crate::settings::{self, PURGE_TAKES};
+use crate::tally::Tally;
 use crate::trace::{Micros, What};
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
 use serde::Serialize;
@@ -34,6 +36,8 @@
 const RELAY_LATE_MOST: Duration = Duration::from_millis(50);
 /// A list tells of a store's death after this, as what looks after stores needs some time.
 const DEATH_TOLD: Duration = Duration::from_millis(700);
+/// How often who looks on is told how it goes.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// A cache that fell starts again after this.
 const FALLEN_FOR: Duration = Duration::from_secs(3);
 
@@ -234,7 +238,12 @@
         bounds: settings::bounds(scenario),
     };
     let trace = File::create(options.folder.join("trace.jsonl")).map_err(io("the trace"))?;
-    let recording = recorder::begin(links.clone(), Checker::new(given), BufWriter::new(trace));
+    let recording = recorder::begin(
+        links.clone(),
+        Checker::new(given),
+        Tally::new(micros(scenario.model.warm_up)),
+        BufWriter::new(trace),
+    );
     let seen = recording.recorder.clone();
     let (fell, mut fallen) = mpsc::unbounded_channel();
     let stores = Stores::start(
@@ -288,6 +297,8 @@
     };
     let (mut turns, end) = (schedule.turns().into_iter().peekable(), zero + scenario.lasts());
     let mut next = turns.next();
+    let mut looks = tokio::time::interval_at(zero + LOOK_EVERY, LOOK_EVERY);
+    let mut before = [0; 3];
     loop {
         let due = next.map_or(end, |turn| zero + turn.at);
         tokio::select! {
@@ -298,6 +309,20 @@
                 hand.turn(&schedule, turn);
                 next = turns.next();
             }
+            _ = looks.tick() => {
+                let counts = clients.counts();
+                let [served, refused, failed] = [0, 1, 2].map(|at| counts[at] - before[at]);
+                before = counts;
+                let alive = clients.alive();
+                tell(
+                    zero.elapsed(),
+                    format!(
+                        "{:7.2} s  served {served:>5}  refused {refused:>4}  failed {failed:>4}  {alive}/{} gateways",
+                        zero.elapsed().as_secs_f64(),
+                        scenario.gateways()
+                    ),
+                );
+            }
             Some(store) = fallen.recv() => {
                 tell(zero.elapsed(), format!("{} fell over", scenario.roster.get(store)));
                 hand.fell(store);
@@ -308,7 +333,7 @@
     let ends = hand.fleet.end().await;
     let outcomes = clients.outcomes();
     let (load_late, relay_late, relayed) = (clients.lateness(), links.lateness(), links.bytes());
-    let (checker, entries) = recording.finish().await.ok_or("the recorder has died")?;
+    let (checker, tally, entries) = recording.finish().await.ok_or("the recorder has died")?;
     let (findings, counts) = checker.end(links.now());
 
     let mut void = Vec::new();
@@ -336,6 +361,18 @@
     };
     let result = File::create(options.folder.join("result.json")).map_err(io("the result"))?;
     serde_json::to_writer_pretty(BufWriter::new(result), &verdict).map_err(|e| e.to_string())?;
+    let title = options.folder.file_name().map_or("run".into(), |name| name.to_string_lossy().into_owned());
+    let drawn = picture::page(&picture::Run {
+        title: &title,
+        verdict: &verdict,
+        outcomes: &outcomes,
+        tally: &tally,
+        schedule: &schedule,
+        roster: &scenario.roster,
+        zero: micros(zero - begin),
+        lasts,
+    })?;
+    std::fs::write(options.folder.join("report.html"), drawn).map_err(io("the report"))?;
     Ok(verdict)
 }
 
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,9 +2,12 @@
 
 use clap::{Parser, Subcommand};
 use sagearch_lab::act::{fleet, run};
+use sagearch_lab::experiment::{self, Line};
 use sagearch_lab::scenario::{self, Scenario};
 use sagearch_lab::schedule::Schedule;
-use sagearch_operators::Files;
+use sagearch_lab::shrink;
+use sagearch_operators::{Files, OneFile};
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -38,6 +41,38 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Plays scenarios by seeds by builds, one after the other, and adds a line for each to a file. What stands there
+    /// already is not played again.
+    Try {
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        /// As `1..5`, both ends included.
+        #[arg(long, default_value = "1..3")]
+        seeds: String,
+        /// A build as NAME=FILE; may be given more than once.
+        #[arg(long = "build", default_value = "now=target/release/sagearch")]
+        builds: Vec<String>,
+        #[arg(long, default_value = "results.jsonl")]
+        results: PathBuf,
+    },
+    /// Compares two builds of one file of results, or the same build of two, in pairs by seed.
+    Diff {
+        before: String,
+        after: String,
+        #[arg(long, default_value = "results.jsonl")]
+        results: PathBuf,
+    },
+    /// Makes a scenario that does not hold smaller for as long as it does not.
+    Shrink {
+        scenario: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value = "target/release/sagearch")]
+        gateway: PathBuf,
+        /// Runs at most.
+        #[arg(long, default_value_t = 40)]
+        tries: usize,
+    },
     /// Takes the place of itself by a program that ends when the laboratory does.
     #[command(hide = true)]
     Leash { parent: i32, program: PathBuf },
@@ -66,25 +101,38 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn play(path: &Path, seed: u64, gateway: PathBuf, out: Option<PathBuf>) -> Result<ExitCode, String> {
-    let scenario = read(path)?;
-    let name = path.file_stem().map_or("run".into(), |name| name.to_string_lossy().into_owned());
-    let own = format!("sagearch-lab-{name}-{seed}-{}", std::process::id());
-    let folder = out.unwrap_or_else(|| std::env::temp_dir().join(own));
+/// Plays a scenario in a folder.
+fn verdict(
+    scenario: &Scenario,
+    seed: u64,
+    gateway: &Path,
+    folder: PathBuf,
+    tell: impl FnMut(std::time::Duration, String),
+) -> Result<run::Verdict, String> {
     let gateway = gateway.canonicalize().map_err(|e| format!("{}: {e}", gateway.display()))?;
     let leash = std::env::current_exe().map_err(|e| e.to_string())?;
-    let options = run::Options { gateway, leash, folder: folder.clone(), seed };
+    let options = run::Options { gateway, leash, folder, seed };
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let verdict = runtime.map_err(|e| e.to_string())?.block_on(async {
-        let told = |_, text| println!("{text}");
+    runtime.map_err(|e| e.to_string())?.block_on(async {
         tokio::select! {
-            verdict = run::run(&scenario, options, told) => verdict,
+            verdict = run::run(scenario, options, tell) => verdict,
             _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
             () = terminated() => Err("terminated".into()),
         }
-    })?;
+    })
+}
+
+fn own_folder(path: &Path, seed: u64) -> PathBuf {
+    let name = path.file_stem().map_or("run".into(), |name| name.to_string_lossy().into_owned());
+    std::env::temp_dir().join(format!("sagearch-lab-{name}-{seed}-{}", std::process::id()))
+}
+
+fn play(path: &Path, seed: u64, gateway: &Path, out: Option<PathBuf>) -> Result<ExitCode, String> {
+    let scenario = read(path)?;
+    let folder = out.unwrap_or_else(|| own_folder(path, seed));
+    let verdict = verdict(&scenario, seed, gateway, folder.clone(), |_, text| println!("{text}"))?;
     println!("\n{}", sagearch_lab::report::text(&verdict));
-    println!("trace, logs and result: {}", folder.display());
+    println!("report: {}", folder.join("report.html").display());
     Ok(match (verdict.void.is_empty(), verdict.holds()) {
         (false, _) => ExitCode::from(2),
         (true, true) => ExitCode::SUCCESS,
@@ -92,6 +140,110 @@
     })
 }
 
+fn seeds_of(text: &str) -> Result<Vec<u64>, String> {
+    let bad = || format!("{text:?} are no seeds like 1..5");
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let number = |text: &str| text.trim().parse::<u64>().map_err(|_| bad());
+    Ok((number(first)?..=number(last)?).collect())
+}
+
+fn results_in(path: &Path) -> Result<Vec<Line>, String> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => experiment::read(&text).map_err(|e| format!("{}: {e}", path.display())),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Vec::new()),
+        Err(e) => Err(format!("{}: {e}", path.display())),
+    }
+}
+
+fn try_all(
+    scenarios: &[PathBuf],
+    seeds: &str,
+    builds: &[String],
+    results: &Path,
+) -> Result<ExitCode, String> {
+    let mut programs = BTreeMap::new();
+    for build in builds {
+        let (name, file) = build.split_once('=').ok_or_else(|| format!("{build:?} is no NAME=FILE"))?;
+        programs.insert(name.to_string(), PathBuf::from(file));
+    }
+    let names: Vec<String> = scenarios.iter().map(|path| path.to_string_lossy().into_owned()).collect();
+    let variants: Vec<String> = programs.keys().cloned().collect();
+    let left = experiment::to_play(&names, &variants, &seeds_of(seeds)?, &results_in(results)?);
+    for (place, cell) in left.iter().enumerate() {
+        let path = PathBuf::from(&cell.scenario);
+        let folder = own_folder(&path, cell.seed);
+        let verdict = verdict(&read(&path)?, cell.seed, &programs[&cell.variant], folder.clone(), |_, _| {})?;
+        let served: Vec<String> =
+            verdict.figures.iter().map(|one| format!("{} {:.4}", one.phase, one.served)).collect();
+        let found: usize = verdict.counts.values().sum();
+        println!(
+            "{}/{}  {} {} seed {}: {}; {found} findings{}",
+            place + 1,
+            left.len(),
+            cell.scenario,
+            cell.variant,
+            cell.seed,
+            served.join(", "),
+            if verdict.void.is_empty() { "" } else { "; VOID" }
+        );
+        let line = Line {
+            cell: cell.clone(),
+            figures: verdict.figures,
+            findings: verdict.counts,
+            void: verdict.void,
+        };
+        let text = serde_json::to_string(&line).map_err(|e| e.to_string())? + "\n";
+        let file = std::fs::File::options().create(true).append(true).open(results);
+        let written = file.and_then(|mut file| std::io::Write::write_all(&mut file, text.as_bytes()));
+        written.map_err(|e| format!("{}: {e}", results.display()))?;
+        // Of a run that found nothing the result is all that is wanted.
+        if found == 0 {
+            let _ = std::fs::remove_dir_all(folder);
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn diff(before: &str, after: &str, results: &Path) -> Result<ExitCode, String> {
+    let lines = results_in(results)?;
+    let of = |name: &str| -> Vec<Line> {
+        lines.iter().filter(|line| line.cell.variant == name).cloned().collect()
+    };
+    let differences = experiment::compare(&of(before), &of(after));
+    if differences.is_empty() {
+        return Err(format!("{} has no pairs of {before} and {after}", results.display()));
+    }
+    print!("{}", experiment::text(&differences));
+    Ok(ExitCode::SUCCESS)
+}
+
+fn shrunk(path: &Path, seed: u64, gateway: &Path, tries: usize) -> Result<ExitCode, String> {
+    let name = path.to_string_lossy().into_owned();
+    let text = Disk.read(&name)?;
+    let failing = |text: &str| {
+        let one = OneFile { name: &name, text };
+        let Ok(scenario) = scenario::read(&name, &one) else { return false };
+        let folder = own_folder(path, seed);
+        let failed = verdict(&scenario, seed, gateway, folder.clone(), |_, _| {})
+            .is_ok_and(|verdict| verdict.void.is_empty() && !verdict.holds());
+        let _ = std::fs::remove_dir_all(folder);
+        eprintln!(
+            "{} gateways, {:.1} s: {}",
+            scenario.gateways(),
+            scenario.lasts().as_secs_f64(),
+            if failed { "still does not hold" } else { "holds, or says nothing" }
+        );
+        failed
+    };
+    if !failing(&text) {
+        return Err("it holds as it is: nothing to shrink".into());
+    }
+    let shrunk = shrink::shrink(&text, tries, failing)?;
+    eprintln!("{} runs{}", shrunk.tries, if shrunk.least { "" } else { "; smaller may be had with more" });
+    println!("{}", shrunk.text);
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn terminated() {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
@@ -102,7 +254,10 @@
 
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
-        Command::Run { scenario, seed, gateway, out } => play(&scenario, seed, gateway, out),
+        Command::Run { scenario, seed, gateway, out } => play(&scenario, seed, &gateway, out),
+        Command::Try { scenarios, seeds, builds, results } => try_all(&scenarios, &seeds, &builds, &results),
+        Command::Diff { before, after, results } => diff(&before, &after, &results),
+        Command::Shrink { scenario, seed, gateway, tries } => shrunk(&scenario, seed, &gateway, tries),
         Command::Plan { scenario, seed } => plan(&scenario, seed),
         Command::Leash { parent, program } => Err(fleet::leash(parent, &program).to_string()),
     };
--- /dev/null
+++ b/crates/lab/src/picture.rs
@@ -0,0 +1,236 @@
+//! A run as one page that needs nothing else: plots as SVG, figures, findings, the schedule.
+
+use crate::outcome::{Ending, Outcome};
+use crate::party::{PartyId, Roster};
+use crate::report;
+use crate::schedule::Schedule;
+use crate::tally::{COLUMN, Tally};
+use crate::trace::Micros;
+use plotters::prelude::*;
+use std::fmt::Write;
+
+const WIDTH: u32 = 1_000;
+const HEIGHT: u32 = 260;
+/// Rows of the heat map that are drawn: the stores that were asked most.
+const ROWS: usize = 60;
+
+/// What a page is made of.
+pub struct Run<'a> {
+    pub title: &'a str,
+    pub verdict: &'a crate::act::run::Verdict,
+    pub outcomes: &'a [Outcome],
+    pub tally: &'a Tally,
+    pub schedule: &'a Schedule,
+    pub roster: &'a Roster,
+    /// When the load began on the trace's clock.
+    pub zero: Micros,
+    pub lasts: Micros,
+}
+
+fn seconds(micros: Micros) -> f64 {
+    micros as f64 / 1e6
+}
+
+type Fault = Box<dyn std::error::Error>;
+/// A name, a colour, and points.
+type Line<'a> = (&'a str, RGBColor, Vec<(f64, f64)>);
+
+/// Columns of the run, and of each the outcomes that were to be asked in it.
+fn columns<'a>(run: &Run<'a>) -> Vec<Vec<&'a Outcome>> {
+    let mut columns = vec![Vec::new(); (run.lasts / COLUMN + 1) as usize];
+    for one in run.outcomes {
+        if let Some(column) = columns.get_mut((one.at / COLUMN) as usize) {
+            column.push(one);
+        }
+    }
+    columns
+}
+
+/// A plot over the run's time, with a band behind it for each fault.
+fn over_time(run: &Run<'_>, caption: &str, most: f64, lines: &[Line<'_>]) -> Result<String, Fault> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, HEIGHT)).into_drawing_area();
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .margin(8)
+            .caption(caption, ("sans-serif", 16))
+            .x_label_area_size(28)
+            .y_label_area_size(56)
+            .build_cartesian_2d(0.0..seconds(run.lasts), 0.0..most)?;
+        let band = |plan: &crate::schedule::Planned| {
+            let (begins, ends) = (plan.begins.as_secs_f64(), plan.ends.as_secs_f64());
+            // What has no length is drawn as a stroke.
+            let ends = ends.max(begins + seconds(run.lasts) / 500.0).min(seconds(run.lasts));
+            Rectangle::new([(begins, 0.0), (ends, most)], RED.mix(0.06).filled())
+        };
+        chart.draw_series(run.schedule.planned.iter().map(band))?;
+        chart.configure_mesh().x_desc("s").light_line_style(WHITE).draw()?;
+        for (name, colour, points) in lines {
+            let colour = *colour;
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour.stroke_width(2)));
+        }
+        chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+fn shares(run: &Run<'_>) -> Result<String, Fault> {
+    let columns = columns(run);
+    let line = |of: &dyn Fn(Ending) -> bool| -> Vec<(f64, f64)> {
+        let share = |(at, column): (usize, &Vec<&Outcome>)| {
+            let count = column.iter().filter(|one| of(one.ending)).count();
+            let middle = seconds(at as Micros * COLUMN + COLUMN / 2);
+            (!column.is_empty()).then(|| (middle, count as f64 / column.len() as f64))
+        };
+        columns.iter().enumerate().filter_map(share).collect()
+    };
+    let failed = |ending| !matches!(ending, Ending::Served | Ending::Refused);
+    let lines = [
+        ("served", RGBColor(0, 120, 60), line(&|ending| ending == Ending::Served)),
+        ("refused", RGBColor(210, 140, 0), line(&|ending| ending == Ending::Refused)),
+        ("failed", RGBColor(200, 0, 0), line(&failed)),
+    ];
+    over_time(run, "Share of requests, by when they were to be asked", 1.05, &lines)
+}
+
+fn times(run: &Run<'_>) -> Result<String, Fault> {
+    let (mut p50, mut p99, mut most) = (Vec::new(), Vec::new(), 1.0_f64);
+    for (at, column) in columns(run).iter().enumerate() {
+        let served = column.iter().filter(|one| one.ending == Ending::Served);
+        let mut took: Vec<Micros> = served.map(|one| one.took).collect();
+        if took.is_empty() {
+            continue;
+        }
+        took.sort_unstable();
+        let middle = seconds(at as Micros * COLUMN + COLUMN / 2);
+        let quantile = |share: f64| took[((took.len() - 1) as f64 * share) as usize] as f64 / 1e3;
+        p50.push((middle, quantile(0.5)));
+        p99.push((middle, quantile(0.99)));
+        most = most.max(quantile(0.99));
+    }
+    let lines = [("median", RGBColor(0, 90, 170), p50), ("99 of 100", RGBColor(120, 0, 140), p99)];
+    over_time(run, "Milliseconds to the answer, of those served", most * 1.1, &lines)
+}
+
+/// Requests by store and time; each row is drawn against the fullest cell of all.
+fn heat(run: &Run<'_>) -> Result<String, Fault> {
+    let mut rows: Vec<(&PartyId, &Vec<u32>)> = run.tally.came.iter().collect();
+    rows.sort_by_key(|(store, _)| std::cmp::Reverse(run.tally.total(**store)));
+    rows.truncate(ROWS);
+    rows.sort_by_key(|(store, _)| **store);
+    let most = rows.iter().flat_map(|(_, row)| row.iter()).max().copied().unwrap_or(1).max(1);
+    let (names, cell) = (150, 12);
+    let height = rows.len() as u32 * cell + 40;
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, (WIDTH, height)).into_drawing_area();
+        root.fill(&WHITE)?;
+        let columns = (run.lasts / COLUMN + 1) as usize;
+        let wide = (WIDTH - names - 10) as f64 / columns as f64;
+        let first = (run.zero / COLUMN) as usize;
+        root.draw(&Text::new("Requests by store and time", (names as i32, 4), ("sans-serif", 16)))?;
+        for (line, (store, row)) in rows.iter().enumerate() {
+            let top = 28 + line as i32 * cell as i32;
+            root.draw(&Text::new(run.roster.get(**store).to_string(), (4, top), ("sans-serif", 11)))?;
+            for column in 0..columns {
+                let count = row.get(first + column).copied().unwrap_or(0);
+                if count == 0 {
+                    continue;
+                }
+                let cold = run.tally.came_cold.get(*store).and_then(|row| row.get(first + column));
+                // Sends to a store that was warming up stand out.
+                let colour = if cold.is_some_and(|cold| *cold > 0) {
+                    RGBColor(200, 60, 0)
+                } else {
+                    RGBColor(0, 80, 160)
+                };
+                let strength = 0.1 + 0.9 * f64::from(count) / f64::from(most);
+                let left = names as f64 + column as f64 * wide;
+                let corners = [(left as i32, top), ((left + wide) as i32, top + cell as i32 - 2)];
+                root.draw(&Rectangle::new(corners, colour.mix(strength).filled()))?;
+            }
+        }
+        root.present()?;
+    }
+    Ok(svg)
+}
+
+fn escaped(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The whole page.
+pub fn page(run: &Run<'_>) -> Result<String, String> {
+    let plots = [shares(run), times(run), heat(run)];
+    let mut page = String::new();
+    let title = escaped(run.title);
+    let _ = write!(
+        page,
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{title}</title>\
+         <style>body{{font:14px sans-serif;max-width:1020px;margin:24px auto}}pre{{overflow-x:auto}}</style>\
+         <h1>{title}</h1><pre>{}</pre>",
+        escaped(&report::text(run.verdict))
+    );
+    for plot in plots {
+        let _ = write!(page, "<p>{}</p>", plot.map_err(|e| e.to_string())?);
+    }
+    let _ = write!(page, "<h2>Schedule</h2><pre>{}</pre></html>", escaped(&run.verdict.schedule.join("\n")));
+    Ok(page)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::act::run::Verdict;
+    use crate::budget;
+    use crate::trace::{Seen, What};
+    use sagearch_operators::OneFile;
+
+    #[test]
+    fn a_page_holds_the_plots_and_escapes_what_it_is_told() {
+        let text = "fleet {\n site \"a\" gateways=1 stores=2\n}\nload rate=1\nphase \"one\" for=\"2s\" {\n fault \"crash\" who=\"store/a/1\" at=\"500ms\"\n}\n";
+        let scenario = crate::scenario::read("s", &OneFile { name: "s", text }).unwrap();
+        let schedule = Schedule::draw(&scenario, 1);
+        let one = |at, ending| Outcome { at, ending, took: 5_000, tries: 1 };
+        let outcomes = [one(0, Ending::Served), one(700_000, Ending::Refused), one(1_500_000, Ending::Left)];
+        let mut tally = Tally::new(1);
+        let store = scenario.roster.named("store/a/2").unwrap().into_iter().next().unwrap();
+        let came = What::Arrived { id: 1, attempt: 1, gateway: PartyId(0), store, sent: 0 };
+        tally.see(&Seen { at: 100_000, what: came });
+        let verdict = Verdict {
+            seed: 1,
+            gateways: 1,
+            takes: budget::takes(1, 5),
+            schedule: vec!["1 < 2".into()],
+            figures: crate::outcome::figures(&scenario, &outcomes),
+            findings: Vec::new(),
+            counts: Default::default(),
+            ends: Vec::new(),
+            void: Vec::new(),
+            entries: 1,
+            relayed_bytes: (0, 0),
+            relay_late_us: (0, 0),
+            load_late_us: 0,
+        };
+        let (roster, lasts) = (&scenario.roster, 2_000_000);
+        let run = Run {
+            title: "a <b>",
+            verdict: &verdict,
+            outcomes: &outcomes,
+            tally: &tally,
+            schedule: &schedule,
+            roster,
+            zero: 0,
+            lasts,
+        };
+        let page = page(&run).unwrap();
+        assert_eq!(page.matches("<svg").count(), 3);
+        assert!(page.contains("a &lt;b&gt;") && page.contains("1 &lt; 2") && page.contains("store/a/2"));
+        assert!(!page.contains("<b>"));
+    }
+}
--- a/crates/lab/src/settings.rs
+++ b/crates/lab/src/settings.rs
@@ -60,7 +60,7 @@
             "ZoneBalancers": balancers},
         "Instances": scenario.gateways(),
         "Kinds": KINDS,
-        "Limits": {"MayCancel": true, "Probes": true, "SendCap": SEND_CAP, "RetryAfter": true,
+        "Limits": {"MayCancel": true, "Peers": true, "Probes": true, "SendCap": SEND_CAP, "RetryAfter": true,
             "SecondCopies": false, "MaxRetryAfter": 2_000_000, "Keepalive": KEEPALIVE,
             "StreamsPerConn": 100, "ConnectTimeout": 400_000},
         "Obligations": {"DrainGrace": DRAIN_GRACE, "Fall": cold.window, "FallMultiple": cold.multiple,
--- /dev/null
+++ b/crates/lab/src/shrink.rs
@@ -0,0 +1,190 @@
+//! Makes of a scenario that fails a smaller one that still fails: fewer faults, phases, processes and seconds.
+//!
+//! It works on the text's own tree, so what comes out is a scenario like any other. Larger cuts are tried first, and what
+//! no longer fails is put back; it ends when no cut keeps it failing, or when its tries are used up.
+
+use kdl::{KdlDocument, KdlEntry, KdlNode, KdlValue};
+
+/// Numbers that may be halved: the node, the property, and the least that it may come to.
+const NUMBERS: [(&str, &str, i128); 4] =
+    [("site", "gateways", 1), ("site", "stores", 1), ("fleet", "parents", 1), ("load", "rate", 10)];
+
+/// A place in the tree: which child of which child.
+type Path = Vec<usize>;
+
+fn at<'a>(document: &'a KdlDocument, path: &[usize]) -> Option<&'a KdlNode> {
+    let (first, rest) = path.split_first()?;
+    let node = document.nodes().get(*first)?;
+    if rest.is_empty() { Some(node) } else { at(node.children()?, rest) }
+}
+
+fn at_mut<'a>(document: &'a mut KdlDocument, path: &[usize]) -> Option<&'a mut KdlNode> {
+    let (first, rest) = path.split_first()?;
+    let node = document.nodes_mut().get_mut(*first)?;
+    if rest.is_empty() { Some(node) } else { at_mut(node.children_mut().as_mut()?, rest) }
+}
+
+fn remove(document: &mut KdlDocument, path: &[usize]) -> Option<()> {
+    let (last, above) = path.split_last()?;
+    let nodes = match above {
+        [] => document.nodes_mut(),
+        above => at_mut(document, above)?.children_mut().as_mut()?.nodes_mut(),
+    };
+    (*last < nodes.len()).then(|| drop(nodes.remove(*last)))
+}
+
+fn walk(document: &KdlDocument, above: &[usize], found: &mut Vec<Path>) {
+    for (place, node) in document.nodes().iter().enumerate() {
+        let path: Path = above.iter().copied().chain([place]).collect();
+        found.push(path.clone());
+        if let Some(children) = node.children() {
+            walk(children, &path, found);
+        }
+    }
+}
+
+/// Half of a time that is written in whole milliseconds, seconds or minutes; nothing below a second.
+fn half(time: &str) -> Option<String> {
+    let (unit, millis) =
+        [("ms", 1), ("s", 1_000), ("m", 60_000)].into_iter().find(|(unit, _)| time.ends_with(unit))?;
+    let all = time.strip_suffix(unit)?.parse::<u64>().ok()? * millis;
+    (all >= 2_000).then(|| format!("{}ms", all / 2))
+}
+
+/// A cut: how much it takes away, to try the largest first, and what is left.
+struct Cut {
+    rank: u8,
+    left: KdlDocument,
+}
+
+fn set(node: &mut KdlNode, name: &str, value: KdlValue) {
+    node.insert(name, KdlEntry::new_prop(name, value));
+}
+
+fn cuts(document: &KdlDocument) -> Vec<Cut> {
+    let mut paths = Vec::new();
+    walk(document, &[], &mut paths);
+    let mut all = Vec::new();
+    let mut cut = |rank, change: &dyn Fn(&mut KdlDocument) -> Option<()>| {
+        let mut left = document.clone();
+        if change(&mut left).is_some() {
+            all.push(Cut { rank, left });
+        }
+    };
+    for path in &paths {
+        let Some(node) = at(document, path) else { continue };
+        match node.name().value() {
+            "phase" => cut(0, &|left| remove(left, path)),
+            "site" => cut(1, &|left| remove(left, path)),
+            "fault" => cut(2, &|left| remove(left, path)),
+            "expect" => cut(6, &|left| remove(left, path)),
+            _ => {}
+        }
+        for (name, property, least) in NUMBERS {
+            let Some(number) = node.get(property).and_then(KdlValue::as_integer) else { continue };
+            if node.name().value() == name && number / 2 >= least {
+                cut(3, &|left| {
+                    set(at_mut(left, path)?, property, KdlValue::Integer(number / 2));
+                    Some(())
+                });
+            }
+        }
+        if let Some(shorter) = node.get("for").and_then(KdlValue::as_string).and_then(half) {
+            let rank = if node.name().value() == "phase" { 4 } else { 5 };
+            cut(rank, &|left| {
+                set(at_mut(left, path)?, "for", KdlValue::String(shorter.clone()));
+                Some(())
+            });
+        }
+    }
+    all.sort_by_key(|cut| cut.rank);
+    all
+}
+
+/// What came of it.
+#[derive(Debug, PartialEq)]
+pub struct Shrunk {
+    pub text: String,
+    pub tries: usize,
+    /// No cut that is left keeps it failing.
+    pub least: bool,
+}
+
+/// Shrinks a text for as long as `fails` says so of what is left, in so many tries at most. A text that can't be read or
+/// played does not fail in this sense.
+pub fn shrink(text: &str, most: usize, mut fails: impl FnMut(&str) -> bool) -> Result<Shrunk, String> {
+    let mut document = KdlDocument::parse(text).map_err(|e| e.to_string())?;
+    let mut tries = 0;
+    loop {
+        let mut smaller = None;
+        for cut in cuts(&document) {
+            if tries == most {
+                return Ok(Shrunk { text: document.to_string(), tries, least: false });
+            }
+            tries += 1;
+            if fails(&cut.left.to_string()) {
+                smaller = Some(cut.left);
+                break;
+            }
+        }
+        match smaller {
+            Some(left) => document = left,
+            None => return Ok(Shrunk { text: document.to_string(), tries, least: true }),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::scenario::{What, read};
+    use sagearch_operators::OneFile;
+
+    const TEXT: &str = r#"
+fleet parents=4 {
+    site "east" gateways=12 stores=8
+    site "west" gateways=12 stores=8
+}
+load rate=400
+phase "calm" for="10s" {
+    expect served=99
+}
+phase "bad" for="20s" {
+    fault "delay" from="gateway" to="store" by="50ms" for="8s"
+    fault "kill" who="gateway/east" pick=1 at="1s" for="4s"
+    fault "stop" who="gateway/east/1" for="2s"
+}
+"#;
+
+    /// Whether a scenario has a kill at the east site and two gateways there at least.
+    fn fails(text: &str) -> bool {
+        let Ok(read) = read("s", &OneFile { name: "s", text }) else { return false };
+        let killed = |what: &What| matches!(what, What::Process { blow: crate::scenario::Blow::Kill, .. });
+        let east = read.sites.iter().find(|site| site.name == "east");
+        let kills = read.phases.iter().flat_map(|phase| &phase.faults).any(|fault| killed(&fault.what));
+        kills && east.is_some_and(|site| site.gateways >= 2)
+    }
+
+    #[test]
+    fn what_the_failure_needs_is_left_and_little_else() {
+        let shrunk = shrink(TEXT, 500, fails).unwrap();
+        assert!(shrunk.least && fails(&shrunk.text), "{}", shrunk.text);
+        let left = read("s", &OneFile { name: "s", text: &shrunk.text }).unwrap();
+        assert_eq!(left.sites.len(), 1);
+        assert_eq!((left.sites[0].gateways, left.sites[0].stores), (3, 1));
+        assert_eq!(left.phases.iter().map(|phase| phase.faults.len()).sum::<usize>(), 1);
+        assert!(left.lasts() <= std::time::Duration::from_millis(2_500), "{:?}", left.lasts());
+    }
+
+    #[test]
+    fn tries_are_bounded_and_what_is_left_fails_all_the_same() {
+        let mut played = 0;
+        let shrunk = shrink(TEXT, 3, |text| {
+            played += 1;
+            fails(text)
+        });
+        let shrunk = shrunk.unwrap();
+        assert_eq!((played, shrunk.tries, shrunk.least), (3, 3, false));
+        assert!(fails(&shrunk.text));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/tally.rs
@@ -0,0 +1,77 @@
+//! What a report draws of a trace, counted as it comes, so that no trace need be held in memory.
+
+use crate::party::PartyId;
+use crate::trace::{Change, Micros, Seen, What};
+use std::collections::BTreeMap;
+
+/// Width of a column, in microseconds.
+pub const COLUMN: Micros = 500_000;
+/// Columns that are kept: beyond, a run of hours counts in the last one.
+const COLUMNS: usize = 20_000;
+
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Requests that came to each store, by column.
+    pub came: BTreeMap<PartyId, Vec<u32>>,
+    /// Those of them that came within the time of warming up after its start.
+    pub came_cold: BTreeMap<PartyId, Vec<u32>>,
+    warm_up: Micros,
+    started: BTreeMap<PartyId, Micros>,
+}
+
+fn add(row: &mut Vec<u32>, at: Micros) {
+    let column = ((at / COLUMN) as usize).min(COLUMNS - 1);
+    if row.len() <= column {
+        row.resize(column + 1, 0);
+    }
+    row[column] += 1;
+}
+
+impl Tally {
+    pub fn new(warm_up: Micros) -> Tally {
+        Tally { warm_up, ..Tally::default() }
+    }
+
+    pub fn see(&mut self, seen: &Seen) {
+        match &seen.what {
+            What::Arrived { store, .. } => {
+                add(self.came.entry(*store).or_default(), seen.at);
+                let cold = self.started.get(store).is_some_and(|at| seen.at < at + self.warm_up);
+                if cold {
+                    add(self.came_cold.entry(*store).or_default(), seen.at);
+                }
+            }
+            What::Stands { change: Change::Up { store, started: Some(at) } } => {
+                self.started.insert(*store, *at);
+            }
+            _ => {}
+        }
+    }
+
+    /// All that came to a store.
+    pub fn total(&self, store: PartyId) -> u64 {
+        self.came.get(&store).map_or(0, |row| row.iter().map(|count| u64::from(*count)).sum())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_are_counted_by_store_and_column_and_cold_ones_apart() {
+        let mut tally = Tally::new(10_000_000);
+        let store = PartyId(3);
+        let came =
+            |at| Seen { at, what: What::Arrived { id: 1, attempt: 1, gateway: PartyId(1), store, sent: at } };
+        tally.see(&came(0));
+        let up = Change::Up { store, started: Some(1_000_000) };
+        tally.see(&Seen { at: 1_000_000, what: What::Stands { change: up } });
+        tally.see(&came(1_200_000));
+        tally.see(&came(1_400_000));
+        tally.see(&came(11_500_000));
+        assert_eq!(tally.total(store), 4);
+        assert_eq!(tally.came[&store][2], 2);
+        assert_eq!(tally.came_cold[&store].iter().sum::<u32>(), 2);
+    }
+}
