Budgets over a fleet: amounts leased by demand, floors, and a bound in every window

Need: each gateway has 1/n of a budget whatever the demand; shared, it must hold whatever is cut, killed or doubled.

The module asks for one more further attempt at the origin through Allowance (off: as before), the broker checks what it was paid from as the first byte is written. The operators' language has fleet (regions, members, voters, budgets), refused where its bound can't hold.

--- /dev/null
+++ b/crates/ledger/src/bank.rs
@@ -0,0 +1,231 @@
+//! What a budget's home hands out.
+
+use crate::bucket::{Amount, Bucket, UNIT};
+use crate::{Ask, Grant, Micros, Terms};
+use std::collections::BTreeMap;
+
+/// A purse and its process.
+pub type Asker = (u16, u64);
+
+/// A part of the rate that was lent to another region's bank, or borrowed from one, for a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Part {
+    whom: u64,
+    rate: Amount,
+    from: Micros,
+    until: Micros,
+}
+
+impl Part {
+    fn overlap(&self, from: Micros, until: Micros) -> Micros {
+        self.until.min(until).saturating_sub(self.from.max(from))
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Asked {
+    incarnation: u64,
+    number: u32,
+    answer: Amount,
+    want: Amount,
+    at: Micros,
+}
+
+/// Handed out by one home in one tenure. It starts empty: what the home before it handed out may all be out still.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Bank {
+    terms: Terms,
+    bucket: Bucket,
+    asked: BTreeMap<u16, Asked>,
+    lent: Vec<Part>,
+    borrowed: Vec<Part>,
+    /// All that was handed out in this tenure.
+    issued: Amount,
+}
+
+/// Parts of the rate that are remembered in each direction.
+const PARTS: usize = 64;
+
+impl Bank {
+    pub fn new(terms: Terms, now: Micros) -> Bank {
+        Bank {
+            terms,
+            bucket: Bucket::new(terms.most, now),
+            asked: BTreeMap::new(),
+            lent: Vec::new(),
+            borrowed: Vec::new(),
+            issued: 0,
+        }
+    }
+
+    pub fn issued(&self) -> Amount {
+        self.issued
+    }
+
+    pub fn level(&self) -> Amount {
+        self.bucket.level()
+    }
+
+    /// The rate, times microseconds, that was lent out over a span: to each borrower the most that any of its loans
+    /// then in force states, as it may have heard of each.
+    fn lent_over(&self, from: Micros, until: Micros) -> u128 {
+        let mut cuts: Vec<Micros> = self.lent.iter().flat_map(|part| [part.from, part.until]).collect();
+        cuts.extend([from, until]);
+        cuts.retain(|at| (from..=until).contains(at));
+        cuts.sort_unstable();
+        let over = |pair: &[Micros]| {
+            let mut most: BTreeMap<u64, Amount> = BTreeMap::new();
+            for part in self.lent.iter().filter(|part| part.overlap(pair[0], pair[1]) > 0) {
+                let rate = most.entry(part.whom).or_default();
+                *rate = (*rate).max(part.rate);
+            }
+            u128::from(most.values().sum::<Amount>()) * u128::from(pair[1] - pair[0])
+        };
+        cuts.windows(2).map(over).sum()
+    }
+
+    fn fill(&mut self, now: Micros) {
+        let from = self.bucket.filled_until();
+        let own = u128::from(self.terms.rate) * u128::from(now.saturating_sub(from));
+        let borrowed: u128 = self
+            .borrowed
+            .iter()
+            .map(|part| u128::from(part.rate) * u128::from(part.overlap(from, now)))
+            .sum();
+        let fine = (own + borrowed).saturating_sub(self.lent_over(from, now.max(from)));
+        self.bucket.fill(now, 0);
+        self.bucket.add(fine);
+        self.lent.retain(|part| now < part.until);
+        self.borrowed.retain(|part| now < part.until);
+    }
+
+    /// Hands out what is there, in proportion to what others have lately wanted as well. `None`: a message of before.
+    pub fn ask(&mut self, now: Micros, (member, incarnation): Asker, ask: Ask) -> Option<Grant> {
+        self.fill(now);
+        let lasts = self.terms.lasts;
+        self.asked.retain(|_, asked| now < asked.at + lasts * 8);
+        if let Some(asked) = self.asked.get(&member).filter(|asked| asked.incarnation == incarnation) {
+            if ask.number == asked.number {
+                return Some(Grant { to: incarnation, number: ask.number, amount: asked.answer });
+            }
+            // Numbers go round; what lies behind is late.
+            if ask.number.wrapping_sub(asked.number) > u32::MAX / 2 {
+                return None;
+            }
+        }
+        let recent = |(other, asked): (&u16, &Asked)| {
+            (*other != member && now < asked.at + lasts).then_some(u128::from(asked.want))
+        };
+        let others: u128 = self.asked.iter().filter_map(recent).sum();
+        let (level, want) = (self.bucket.level(), ask.want);
+        let part = (u128::from(level) * u128::from(want) / (others + u128::from(want)).max(1)) as Amount;
+        // Whole calls: what is less pays for nothing and would be lost. Where there are fewer than who want, the first.
+        let amount = want.min(part.max(level.min(UNIT))) / UNIT * UNIT;
+        if !self.bucket.take(amount) {
+            return None;
+        }
+        self.issued += amount;
+        let asked = Asked { incarnation, number: ask.number, answer: amount, want, at: now };
+        self.asked.insert(member, asked);
+        Some(Grant { to: incarnation, number: ask.number, amount })
+    }
+
+    /// The rate that is lent out now.
+    pub fn lent(&self, now: Micros) -> Amount {
+        self.lent_over(now, now + 1) as Amount
+    }
+
+    /// Lends a rate to another region's bank, told apart by its claim, from now on for `lasts` of this clock. What that
+    /// bank may have been lent before stays out until its own time. What this region's own gateways lately wanted is
+    /// kept.
+    pub fn lend(&mut self, now: Micros, whom: u64, want: Amount, lasts: Micros) -> Amount {
+        self.fill(now);
+        let wanted: Amount =
+            self.asked.values().filter(|it| now < it.at + self.terms.lasts).map(|it| it.want).sum();
+        let own = (u128::from(wanted) * 1_000_000 / u128::from(self.terms.lasts.max(1))) as Amount;
+        let to_others: Amount = {
+            let mut most: BTreeMap<u64, Amount> = BTreeMap::new();
+            for part in self.lent.iter().filter(|part| part.whom != whom) {
+                let rate = most.entry(part.whom).or_default();
+                *rate = (*rate).max(part.rate);
+            }
+            most.values().sum()
+        };
+        let rate = want.min(self.terms.rate.saturating_sub(own.saturating_add(to_others)));
+        if rate > 0 && self.lent.len() < PARTS {
+            self.lent.push(Part { whom, rate, from: now, until: now + lasts });
+            return rate;
+        }
+        0
+    }
+
+    /// Borrows, until a time that began when it was asked for. A new loan of the same lender takes the place of the one
+    /// before.
+    pub fn borrow(&mut self, now: Micros, whom: u64, rate: Amount, until: Micros) {
+        self.fill(now);
+        self.borrowed.retain(|part| part.whom != whom);
+        if now < until && self.borrowed.len() < PARTS {
+            self.borrowed.push(Part { whom, rate, from: now, until });
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Budget;
+
+    /// 100 calls in 10 s, a quarter over it at most, a tenth in floors.
+    fn terms() -> Terms {
+        Budget { amount: 100 * UNIT, window: 10_000_000, overdraft: 250, floors: 100 }.terms(10, 10).unwrap()
+    }
+
+    #[test]
+    fn a_new_one_is_empty_and_fills_by_the_rate_to_the_most() {
+        let mut bank = Bank::new(terms(), 0);
+        let want = 100 * UNIT;
+        assert_eq!(bank.ask(0, (1, 1), Ask { number: 1, want }), Some(Grant { to: 1, number: 1, amount: 0 }));
+        assert_eq!(bank.ask(500_000, (1, 1), Ask { number: 2, want }).unwrap().amount, 4_000);
+        assert_eq!(bank.ask(60_000_000, (1, 1), Ask { number: 3, want }).unwrap().amount, 6_000);
+    }
+
+    #[test]
+    fn a_message_that_comes_twice_hands_out_once() {
+        let mut bank = Bank::new(terms(), 0);
+        let first = bank.ask(500_000, (1, 1), Ask { number: 7, want: UNIT });
+        assert_eq!(bank.ask(500_100, (1, 1), Ask { number: 7, want: UNIT }), first);
+        assert_eq!((bank.issued(), bank.level()), (UNIT, 3_500));
+        assert_eq!(bank.ask(500_100, (1, 1), Ask { number: 6, want: UNIT }), None, "a late one");
+        assert!(bank.ask(500_200, (1, 2), Ask { number: 7, want: UNIT }).is_some(), "of another process");
+    }
+
+    #[test]
+    fn who_asks_first_does_not_get_all_where_others_want_too() {
+        let mut bank = Bank::new(terms(), 0);
+        for member in 1..=3 {
+            bank.ask(0, (member, 1), Ask { number: 1, want: 10 * UNIT });
+        }
+        let amounts: Vec<Amount> = (1..=3)
+            .map(|member| bank.ask(400_000, (member, 1), Ask { number: 2, want: 10 * UNIT }).unwrap().amount)
+            .collect();
+        assert_eq!(amounts, [UNIT, UNIT, UNIT]);
+    }
+
+    #[test]
+    fn what_is_lent_is_missing_here_for_as_long_as_the_other_may_have_it() {
+        let mut bank = Bank::new(terms(), 0);
+        assert_eq!(bank.lend(0, 7, 6 * UNIT, 1_000_000), 6 * UNIT);
+        // A smaller loan later: the other may not have heard of it yet.
+        assert_eq!(bank.lend(500_000, 7, 2 * UNIT, 1_000_000), 2 * UNIT);
+        assert_eq!(bank.lent(999_999), 6 * UNIT);
+        assert_eq!(bank.lent(1_000_000), 2 * UNIT);
+        assert_eq!(bank.lend(600_000, 8, 9 * UNIT, 100), 3 * UNIT, "no more than is left");
+        let mut other = Bank::new(terms(), 0);
+        other.borrow(0, 7, 6 * UNIT, 1_000_000);
+        other.borrow(500_000, 7, 2 * UNIT, 1_000_000);
+        other.fill(500_000);
+        let at_half = other.level();
+        other.fill(600_000);
+        assert_eq!(other.level(), (at_half + 1_100).min(6_250));
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/purse.rs
@@ -0,0 +1,193 @@
+//! What one gateway has of a budget.
+
+use crate::bucket::{Amount, Bucket, UNIT};
+use crate::{Ask, Grant, Micros, Terms};
+
+/// From what something was paid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spent<C> {
+    /// The gateway's own floor.
+    Floor,
+    /// An amount that was handed out under this.
+    Leased(C),
+}
+
+/// An amount that lasts until its time is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Lease<C> {
+    pub amount: Amount,
+    pub until: Micros,
+    /// Under what it was handed out: void when that is fenced.
+    pub under: C,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Purse<C> {
+    terms: Terms,
+    incarnation: u64,
+    floor: Bucket,
+    leases: Vec<Lease<C>>,
+    number: u32,
+    /// The ask that is out, and when it was sent.
+    asked: Option<(u32, Micros)>,
+    /// What was wanted lately, an amount a second: of the last span and of the one under way.
+    wanted: (Amount, Amount),
+    span_from: Micros,
+    /// Calls that are about to be made: told of ahead, so that there is something to pay with by then.
+    expected: u32,
+}
+
+/// Times that a purse asks while an amount lasts, at most.
+const ASKS: Micros = 8;
+/// Amounts that are held at one time.
+const LEASES: usize = 16;
+
+impl<C: Copy> Purse<C> {
+    pub fn new(terms: Terms, incarnation: u64, now: Micros) -> Purse<C> {
+        let floor = Bucket::new(terms.floor_most, now);
+        let (leases, wanted) = (Vec::new(), (0, 0));
+        Purse {
+            terms,
+            incarnation,
+            floor,
+            leases,
+            number: 0,
+            asked: None,
+            wanted,
+            span_from: now,
+            expected: 0,
+        }
+    }
+
+    fn roll(&mut self, now: Micros) {
+        let span = self.terms.lasts.max(1);
+        let passed = now.saturating_sub(self.span_from) / span;
+        if passed > 0 {
+            self.wanted = (if passed == 1 { self.wanted.1 } else { 0 }, 0);
+            self.span_from += passed * span;
+            // What was expected and never came is not asked for again and again.
+            self.expected = if passed == 1 { self.expected } else { 0 };
+        }
+    }
+
+    /// One call is about to be made, and not just now.
+    pub fn expect(&mut self, now: Micros) {
+        self.roll(now);
+        self.expected += 1;
+    }
+
+    /// Pays for one more, or says that there is nothing left. What was handed out goes first, as it does not last.
+    /// `fenced`: whether what was handed out under this counts no more.
+    pub fn spend(&mut self, now: Micros, fenced: impl Fn(&C) -> bool) -> Option<Spent<C>> {
+        self.roll(now);
+        self.wanted.1 += UNIT;
+        self.expected = self.expected.saturating_sub(1);
+        self.leases.retain(|lease| now < lease.until && !fenced(&lease.under));
+        self.floor.fill(now, self.terms.floor_rate);
+        // Rests of several together pay for none: each has its own end.
+        if let Some(lease) = self.leases.iter_mut().find(|lease| lease.amount >= UNIT) {
+            lease.amount -= UNIT;
+            return Some(Spent::Leased(lease.under));
+        }
+        self.floor.take(UNIT).then_some(Spent::Floor)
+    }
+
+    /// Whether there is anything to pay with.
+    pub fn holds(&self, now: Micros) -> Amount {
+        self.leases.iter().filter(|lease| now < lease.until).map(|lease| lease.amount).sum()
+    }
+
+    /// Asks for more where what is held will not last for what was lately wanted. `None`: enough, or just asked.
+    pub fn ask(&mut self, now: Micros) -> Option<Ask> {
+        self.roll(now);
+        let lasts = self.terms.lasts;
+        if self.asked.is_some_and(|(_, at)| now < at + lasts / ASKS) {
+            return None;
+        }
+        let wanted = self.wanted.0.max(self.wanted.1);
+        let ending = |lease: &&Lease<C>| lease.until > now + lasts / ASKS;
+        let held: Amount = self.leases.iter().filter(ending).map(|lease| lease.amount).sum();
+        // In whole calls. What few ask for is not foretold: it would end unused, where others could use it.
+        let foretold = if wanted >= 4 * UNIT { wanted } else { 0 };
+        let want = foretold.max(Amount::from(self.expected) * UNIT).saturating_sub(held);
+        if want < UNIT {
+            return None;
+        }
+        self.number = self.number.wrapping_add(1);
+        self.asked = Some((self.number, now));
+        Some(Ask { number: self.number, want })
+    }
+
+    /// When it is to be asked again whether it wants more, if it wanted any lately.
+    pub fn next(&self) -> Option<Micros> {
+        let wants = self.wanted.0 > 0 || self.wanted.1 > 0;
+        let asked = self.asked.map_or(self.span_from, |(_, at)| at);
+        wants.then_some(asked + self.terms.lasts / ASKS)
+    }
+
+    /// Takes in what was handed out. Only the answer to the latest ask counts, and once; it lasts from when that ask was
+    /// sent, however long the answer was on its way.
+    pub fn take(&mut self, now: Micros, grant: Grant, under: C) -> bool {
+        let own = |(number, _): &(u32, Micros)| (self.incarnation, *number) == (grant.to, grant.number);
+        let Some((number, sent)) = self.asked.filter(own) else { return false };
+        let until = sent + self.terms.lasts;
+        self.leases.retain(|lease| now < lease.until && lease.amount >= UNIT);
+        let taken = now < until && self.leases.len() < LEASES;
+        if taken {
+            self.leases.push(Lease { amount: grant.amount, until, under });
+        }
+        // Answered: another of the same number is a copy.
+        self.asked = Some((number.wrapping_sub(1), sent));
+        taken
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Budget;
+
+    fn terms() -> Terms {
+        Budget { amount: 100 * UNIT, window: 10_000_000, overdraft: 250, floors: 100 }.terms(10, 10).unwrap()
+    }
+
+    fn asking(purse: &mut Purse<u8>, now: Micros) -> Ask {
+        (0..20).for_each(|_| purse.expect(now));
+        purse.ask(now).expect("wants more")
+    }
+
+    #[test]
+    fn an_amount_lasts_from_the_asking_and_counts_once() {
+        let mut purse = Purse::new(terms(), 3, 0);
+        let ask = asking(&mut purse, 1_000);
+        let grant = Grant { to: 3, number: ask.number, amount: 3 * UNIT };
+        assert!(!purse.take(400_000, Grant { to: 2, ..grant }, 1), "of the process before");
+        assert!(purse.take(400_000, grant, 1) && !purse.take(400_001, grant, 1), "a copy adds nothing");
+        assert_eq!(purse.spend(400_002, |_| false), Some(Spent::Leased(1)));
+        assert_eq!(purse.spend(501_000, |_| false), None, "lasted 0.5 s from 0.001 on");
+    }
+
+    #[test]
+    fn an_answer_that_comes_when_its_time_is_over_is_nothing() {
+        let mut purse = Purse::new(terms(), 3, 0);
+        let ask = asking(&mut purse, 0);
+        assert!(!purse.take(500_000, Grant { to: 3, number: ask.number, amount: UNIT }, 1));
+    }
+
+    #[test]
+    fn what_was_handed_out_under_a_fence_pays_for_nothing() {
+        let mut purse = Purse::new(terms(), 3, 0);
+        let ask = asking(&mut purse, 0);
+        purse.take(1_000, Grant { to: 3, number: ask.number, amount: 2 * UNIT }, 7);
+        assert_eq!(purse.spend(2_000, |under| *under == 7), None);
+        assert_eq!(purse.holds(2_000), 0, "and not later either");
+    }
+
+    #[test]
+    fn a_floor_needs_nobody_and_starts_empty() {
+        let mut purse = Purse::<u8>::new(Terms { floor_most: 2 * UNIT, ..terms() }, 3, 0);
+        assert_eq!(purse.spend(0, |_| false), None);
+        assert_eq!(purse.spend(10_000_000, |_| false), Some(Spent::Floor));
+        assert_eq!(purse.spend(10_000_000, |_| false), None);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/tally.rs
@@ -0,0 +1,73 @@
+//! What was spent, as far as anyone has heard, told apart by who handed it out: parts that come twice, late or by another
+//! way add nothing, and what a loser of a claim handed out is not lost.
+
+use crate::bucket::Amount;
+use std::collections::BTreeMap;
+
+/// Homes that are told apart; beyond, the oldest are kept as a sum that is merged no more.
+const KEPT: usize = 256;
+
+/// A home in one of its tenures: its claim's term, its region, and its process.
+pub type By = (u64, u8, u64);
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    parts: BTreeMap<By, Amount>,
+    folded: Amount,
+    folded_up_to: Option<By>,
+}
+
+impl Tally {
+    /// Takes in how much a home has handed out in all.
+    pub fn hear(&mut self, by: By, issued: Amount) {
+        if self.folded_up_to.is_some_and(|last| by <= last) {
+            return;
+        }
+        let part = self.parts.entry(by).or_default();
+        *part = (*part).max(issued);
+        while self.parts.len() > KEPT {
+            let Some((by, amount)) = self.parts.pop_first() else { return };
+            self.folded += amount;
+            self.folded_up_to = Some(by);
+        }
+    }
+
+    pub fn merge(&mut self, other: &Tally) {
+        other.parts.iter().for_each(|(by, issued)| self.hear(*by, *issued));
+    }
+
+    pub fn total(&self) -> Amount {
+        self.folded + self.parts.values().sum::<Amount>()
+    }
+
+    /// The latest parts, to be told to others.
+    pub fn latest(&self, most: usize) -> impl Iterator<Item = (By, Amount)> + '_ {
+        self.parts.iter().rev().take(most).map(|(by, amount)| (*by, *amount))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_sides_of_a_split_are_merged_and_nothing_counts_twice() {
+        let (mut won, mut lost) = (Tally::default(), Tally::default());
+        won.hear((2, 0, 1), 500);
+        lost.hear((1, 1, 9), 300);
+        lost.hear((1, 1, 9), 200);
+        for _ in 0..3 {
+            won.merge(&lost);
+            lost.merge(&won);
+        }
+        assert_eq!((won.total(), lost.total()), (800, 800));
+    }
+
+    #[test]
+    fn it_stays_bounded_and_what_was_folded_is_not_added_again() {
+        let mut tally = Tally::default();
+        (0..1_000).for_each(|term| tally.hear((term, 0, 0), 1));
+        (0..1_000).for_each(|term| tally.hear((term, 0, 0), 1));
+        assert_eq!((tally.total(), tally.parts.len()), (1_000, KEPT));
+    }
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod fault;
 pub mod files;
+pub mod fleet;
 pub mod format;
 pub mod fronts;
 pub mod identity;
@@ -21,6 +22,7 @@
 pub use files::{Files, OneFile};
 
 use control::{Control, Limits};
+use fleet::Fleet;
 use fronts::{Dns, Raft, Routes};
 use identity::Identity;
 use item::Item;
@@ -60,6 +62,7 @@
     pub routes: Option<Routes>,
     pub limits: Option<Limits>,
     pub control: Option<Control>,
+    pub fleet: Option<Fleet>,
     /// Sets of keys by name, as JSON.
     pub key_sets: BTreeMap<String, String>,
 }
@@ -158,6 +161,7 @@
             "routes" => fronts::routes(item, around, &mut faults).map(|read| operators.routes = Some(read)),
             "limits" => control::limits(item).map(|read| operators.limits = Some(read)),
             "control" => control::control(item).map(|read| operators.control = Some(read)),
+            "fleet" => fleet::fleet(item, &mut faults).map(|read| operators.fleet = Some(read)),
             "key-set" => control::key_set(item, files).and_then(|(name, set)| {
                 match operators.key_sets.insert(name.clone(), set) {
                     None => Ok(()),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -138,6 +138,7 @@
     retries: f64,
     /// The same for what runs at the origin alone.
     origin_retries: f64,
+    pub(crate) shared: Shared,
     /// Worth for each second of sending time of recent requests.
     worths: Recent,
 }
@@ -580,7 +581,7 @@
         // further attempts than a share of its requests. They would keep an origin refusing that turns calls
         // away above a rate. What is saved is a share of the fleet's, and begins at chance.
         let further = open.attempts.len() as u32;
-        if further > 0 && self.origin_retries < 1.0 {
+        if further > 0 && !self.shared.on() && self.origin_retries < 1.0 {
             return self.give_up(id, actions);
         }
         if let Some(last) = open.attempts.last().filter(|last| last.ended != Some(Outcome::TimedOut)) {
@@ -590,10 +591,13 @@
             let due = sent + ((ORIGIN_PAUSE << further.min(6)) as f64 * spread) as Micros;
             if self.now < due && due < deadline {
                 self.open.get_mut(&id).expect("held").paused_until = Some(due);
-                let after = due - self.now;
-                return actions.push(Action::SetTimer { timer: TimerId(id.0), after });
+                self.shared.expect(self.now);
+                return actions.push(Action::SetTimer { timer: TimerId(id.0), after: due - self.now });
             }
         }
+        if further > 0 && !self.shared.pay(self.now) {
+            return self.give_up(id, actions);
+        }
         let most = 1.0 + ORIGIN_SAVED / self.routers_of(Role::Origin);
         let earned = if further == 0 { ORIGIN_EARN } else { -1.0 };
         self.origin_retries = (self.origin_retries + earned).min(most);
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -85,6 +85,8 @@
     attempt: u32,
     member: MemberId,
     sent: Micros,
+    /// From what it was paid, where gateways share a budget.
+    paid: Option<Paid>,
 }
 
 struct Entry<W> {
@@ -164,6 +166,11 @@
         self.router.handle(now, Event::Retuned(settings), &mut Vec::new());
     }
 
+    /// Further attempts at the origin are paid from a budget that gateways share.
+    pub fn share_budget(&mut self, budget: Box<dyn Allowance>) {
+        self.router.shared.set(budget);
+    }
+
     /// Processes that are this gateway now.
     pub fn share(&mut self, processes: u8) {
         self.router.processes = f64::from(processes);
@@ -285,8 +292,10 @@
                     None => purge.group.is_some() && purge.group == entry.group,
                 }
         };
-        entry.place(order.attempt).is_some()
-            && self.serving(order.member)
+        let Some(place) = entry.place(order.attempt) else { return false };
+        // What a fenced claim has handed out counts nowhere.
+        let paid = entry.out[place].paid.is_none_or(|paid| self.router.shared.stands(&paid));
+        paid && self.serving(order.member)
             && source.is_none_or(|source| self.serving(source))
             && !self.purges.iter().rev().any(voided)
     }
@@ -342,7 +351,8 @@
                     let Some(entry) = self.open.get_mut(&request) else { continue };
                     let attempt = entry.attempts;
                     entry.attempts += 1;
-                    entry.out.push(Out { attempt, member, sent: now });
+                    let paid = self.router.shared.paid();
+                    entry.out.push(Out { attempt, member, sent: now, paid });
                     self.timers.push(Reverse((now + timeout, Due::Attempt(request, attempt))));
                     let caller = entry.caller.clone();
                     let order = Order { request, attempt, member, timeout, fill, picked: now, caller };
