Gateways share homes, claims and a budget by datagrams, off without fleet in the operators' file

Who is alive comes from foca in 220 of a datagram's 256 bytes.

Off in run: without fleet no thread, no socket, no decision differs.

--- a/crates/homes/src/holder.rs
+++ b/crates/homes/src/holder.rs
@@ -144,7 +144,14 @@
         tenures.chain(self.again.values().copied()).chain(new).min()
     }
 
-    fn voters(&self) -> BTreeSet<Member> {
+    /// It ends: it asks for nothing any more, and grants nothing either.
+    pub fn retire(&mut self) {
+        self.tenures.clear();
+        self.asks_from = Micros::MAX;
+        self.lists.clear();
+    }
+
+    pub fn voters(&self) -> BTreeSet<Member> {
         self.lists.iter().flatten().copied().collect()
     }
 
--- a/crates/ledger/src/bank.rs
+++ b/crates/ledger/src/bank.rs
@@ -130,6 +130,13 @@
         Some(Grant { to: incarnation, number: ask.number, amount })
     }
 
+    /// What this region's gateways lately wanted, a second.
+    pub fn demand(&self, now: Micros) -> Amount {
+        let lasts = self.terms.lasts;
+        let wanted: Amount = self.asked.values().filter(|it| now < it.at + lasts).map(|it| it.want).sum();
+        (u128::from(wanted) * 1_000_000 / u128::from(lasts.max(1))) as Amount
+    }
+
     /// The rate that is lent out now.
     pub fn lent(&self, now: Micros) -> Amount {
         self.lent_over(now, now + 1) as Amount
@@ -140,9 +147,7 @@
     /// kept.
     pub fn lend(&mut self, now: Micros, whom: u64, want: Amount, lasts: Micros) -> Amount {
         self.fill(now);
-        let wanted: Amount =
-            self.asked.values().filter(|it| now < it.at + self.terms.lasts).map(|it| it.want).sum();
-        let own = (u128::from(wanted) * 1_000_000 / u128::from(self.terms.lasts.max(1))) as Amount;
+        let own = self.demand(now);
         let to_others: Amount = {
             let mut most: BTreeMap<u64, Amount> = BTreeMap::new();
             for part in self.lent.iter().filter(|part| part.whom != whom) {
--- a/src/config.rs
+++ b/src/config.rs
@@ -55,6 +55,8 @@
     /// The folder of what outlives this process: `$TMPDIR`, where that is set.
     pub lasting: Option<PathBuf>,
     pub bus: SocketAddr,
+    /// Where datagrams of other gateways come in.
+    pub peer_listen: Option<SocketAddr>,
     /// The bus's events of the start.
     pub known: Batch,
     pub settings: Settings,
@@ -74,6 +76,7 @@
     limits: Limits,
     admin: Option<String>,
     bus: Option<String>,
+    peer_listen: Option<String>,
     known: Option<Value>,
     settings: Option<Value>,
 }
@@ -151,6 +154,8 @@
     let known = file.known.unwrap_or_else(|| serde_json::json!({"offset": 0, "batch": []}));
     let (settings, names) = settings(file.settings.ok_or_else(|| fault("settings", "is missing"))?)
         .map_err(|e| fault("settings", e))?;
+    // Nobody hears there unless operators have it: a slip in it must not stop a start.
+    let peer_listen = file.peer_listen.and_then(|at| at.parse().ok());
     Ok(Config {
         name: name.or(file.name).ok_or_else(|| fault("name", "is missing"))?,
         listen: address(listen_key, listen.or(file.listen).as_deref())?,
@@ -161,6 +166,7 @@
         socket: None,
         lasting: None,
         bus: address("bus", file.bus.as_deref())?,
+        peer_listen,
         known: serde_json::from_value(known).map_err(|e| fault("known", e))?,
         settings,
         names,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -74,6 +74,43 @@
     steps: Gauge,
     applied: Histogram,
     versions: Family<Handshake, Counter>,
+    /// What is shared with other gateways.
+    pub shared: Counted,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct What {
+    what: &'static str,
+}
+
+/// What is shared with other gateways, as operators are shown it.
+#[derive(Clone, Debug, Default)]
+pub struct Counted {
+    dropped: Family<What, Counter>,
+    changes: Family<What, Counter>,
+    spent: Family<What, Counter>,
+    bytes: Family<What, Counter>,
+    /// Slices that this gateway is home of.
+    pub homes: Gauge,
+    pub members: Gauge,
+}
+
+impl Counted {
+    pub fn lost(&self, what: &'static str) {
+        self.dropped.get_or_create(&What { what }).inc();
+    }
+
+    pub fn spent(&self, what: &'static str) {
+        self.spent.get_or_create(&What { what }).inc();
+    }
+
+    pub fn change(&self, what: &'static str, times: u64) {
+        self.changes.get_or_create(&What { what }).inc_by(times);
+    }
+
+    pub fn bytes(&self, what: &'static str, count: usize) {
+        self.bytes.get_or_create(&What { what }).inc_by(count as u64);
+    }
 }
 
 impl Default for Metrics {
@@ -102,6 +139,7 @@
             // From a millisecond to 8 s.
             applied: Histogram::new(exponential_buckets(1e-3, 2.0, 14)),
             versions: Family::default(),
+            shared: Counted::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -137,6 +175,29 @@
         let text = "Time from a version that has come whole to its being in force";
         registry.register("config_apply_seconds", text, m.applied.clone());
         registry.register("config_versions", "Streamed versions by outcome", m.versions.clone());
+        let shared = &m.shared;
+        registry.register(
+            "shared_dropped",
+            "What was shared and came to nothing, by cause",
+            shared.dropped.clone(),
+        );
+        registry.register(
+            "shared_changes",
+            "Homes gained and lost, claims, splits, fences",
+            shared.changes.clone(),
+        );
+        registry.register(
+            "shared_spent",
+            "Calls paid from a shared budget, by from what",
+            shared.spent.clone(),
+        );
+        registry.register("shared_bytes", "Bytes of datagrams between gateways", shared.bytes.clone());
+        registry.register("shared_homes", "Slices that this gateway is home of", shared.homes.clone());
+        registry.register(
+            "shared_members",
+            "Other members of the region that are alive",
+            shared.members.clone(),
+        );
         Metrics { registry, ..metrics }
     }
 }
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -39,6 +39,11 @@
         SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
     }
 
+    /// The Unix microsecond of a time on the monotonic clock, as far as the Unix clock has not stepped since the start.
+    pub fn unix_us(&self, at: Micros) -> u64 {
+        (at + self.unix).saturating_sub(BEFORE)
+    }
+
     /// How long ago a Unix millisecond was.
     pub fn ago(&self, unix_ms: u64) -> Micros {
         match SystemTime::now().duration_since(UNIX_EPOCH) {
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -6,7 +6,7 @@
 use super::identity::Guard;
 use super::layers::Layers;
 use super::service::Service;
-use super::{admin, bus, control, dns, handover, http, link, lock};
+use super::{admin, bus, control, dns, handover, http, link, lock, shared};
 use crate::broker::Broker;
 use crate::config::{Config, ConfigError, Shape};
 use crate::consensus::Instance;
@@ -91,6 +91,7 @@
     sockets: usize,
     /// Where routes are agreed on, with the other instances of the group.
     pub raft: Option<Instance>,
+    shared: Option<Arc<shared::Shared>>,
 }
 
 impl Gateway {
@@ -103,6 +104,7 @@
             memory_mb,
             sockets,
             bus,
+            peer_listen,
             known,
             settings,
             names,
@@ -135,6 +137,19 @@
             socket_shared: beside,
         };
         let core = Arc::new(Core::new(parts));
+        let shared = match &operators.fleet {
+            // Two processes of an upgrade can't be one member: the new one is one from its own next start on.
+            Some(_) if beside => None,
+            Some(fleet) => {
+                let counted = guard.metrics.shared.clone();
+                shared::start(fleet, &name, peer_listen, clock, seed, counted)?
+            }
+            None => None,
+        };
+        let shared = shared.map(|started| {
+            started.budgets.into_iter().for_each(|budget| core.broker().share_budget(budget));
+            started.shared
+        });
         let feed = Arc::new(bus::Feed::default());
         bus::take(&feed, &core, known);
         let keeper = handover::start(&core, lasting.as_deref(), &name)?;
@@ -213,7 +228,7 @@
         });
         log::info!("{name} serves at {listen}");
         let (shape, admin) = (Mutex::new(shape), operators_at);
-        Ok(Gateway { core, layers, feed, listen, admin, dns, shape, sockets, raft })
+        Ok(Gateway { core, layers, feed, listen, admin, dns, shape, sockets, raft, shared })
     }
 
     /// Takes in a configuration that has replaced the one before: its settings, the operators' file and the address
@@ -243,6 +258,9 @@
             std::thread::sleep(Duration::from_millis(5));
             if stop.load(Ordering::SeqCst) {
                 let core = &self.core;
+                if core.stopping.get().is_none() {
+                    self.shared.iter().for_each(|shared| shared.end());
+                }
                 let told = *core.stopping.get_or_init(|| core.clock.now());
                 let since = core.clock.now() - told;
                 let idle = core.open.load(Ordering::SeqCst) == 0;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -15,6 +15,7 @@
 pub mod layers;
 pub mod link;
 pub mod service;
+pub mod shared;
 pub mod signal;
 pub mod snapshot;
 pub mod store;
--- /dev/null
+++ b/src/net/shared/spend.rs
@@ -0,0 +1,80 @@
+//! A shared budget as the one loop sees it. It waits for no lock: what was handed out comes by a bounded channel, what it
+//! wants goes by another, and fences are read from a published snapshot.
+
+use super::wire::Under;
+use crate::interface::{Allowance, Micros, Paid};
+use arc_swap::ArcSwap;
+use crossbeam_channel::{Receiver, Sender};
+use sagearch_homes::{Floors, Slice};
+use sagearch_ledger::{Ask, Grant, Purse, Spent};
+use std::sync::Arc;
+
+/// What the loop tells the pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted {
+    pub budget: u8,
+    pub ask: Ask,
+}
+
+pub struct SharedBudget {
+    pub budget: u8,
+    pub slice: Slice,
+    pub purse: Purse<Under>,
+    /// A full one loses the ask: it is asked again, as if the datagram were lost.
+    pub wanted: Sender<super::Work>,
+    pub granted: Receiver<(Grant, Under)>,
+    pub floors: Arc<ArcSwap<Floors>>,
+    pub counted: Arc<crate::metrics::Counted>,
+}
+
+impl SharedBudget {
+    fn ask(&mut self, now: Micros) {
+        if let Some(ask) = self.purse.ask(now) {
+            let told = self.wanted.try_send(super::Work::Wanted(Wanted { budget: self.budget, ask }));
+            if told.is_err() {
+                self.counted.lost("asks_unheard");
+            }
+        }
+    }
+}
+
+impl Allowance for SharedBudget {
+    fn expect(&mut self, now: Micros) {
+        self.purse.expect(now);
+        self.ask(now);
+    }
+
+    fn spend(&mut self, now: Micros) -> Option<Paid> {
+        while let Ok((grant, under)) = self.granted.try_recv() {
+            self.purse.take(now, grant, under);
+        }
+        let floors = self.floors.load();
+        let fenced = |under: &Under| under.claim.is_some_and(|claim| floors.fenced(under.slice, &claim));
+        let spent = self.purse.spend(now, fenced);
+        drop(floors);
+        self.ask(now);
+        let claim = match spent {
+            None => {
+                self.counted.spent("nothing");
+                return None;
+            }
+            Some(Spent::Floor) => {
+                self.counted.spent("floor");
+                None
+            }
+            Some(Spent::Leased(under)) => {
+                self.counted.spent("leased");
+                under.claim
+            }
+        };
+        Some(Paid { slice: self.slice, claim })
+    }
+
+    fn stands(&self, paid: &Paid) -> bool {
+        let stands = paid.claim.is_none_or(|claim| !self.floors.load().fenced(paid.slice, &claim));
+        if !stands {
+            self.counted.lost("fenced_attempts");
+        }
+        stands
+    }
+}
--- /dev/null
+++ b/src/net/shared/wire.rs
@@ -0,0 +1,181 @@
+//! What gateways of a fleet send one another: at most 256 bytes a datagram, by `postcard`, with a version in front.
+
+use sagearch_homes::message::{Claims, Leases};
+use sagearch_homes::{Claim, Epoch, Incarnation, Slice};
+use sagearch_ledger::{Amount, Ask, Grant};
+use serde::{Deserialize, Serialize};
+
+/// The longest datagram that gateways may send.
+pub const LONGEST: usize = 256;
+/// What is left of it for others' bytes.
+pub const WITHIN: usize = 220;
+const VERSION: u8 = 1;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Datagram {
+    version: u8,
+    /// Of the fleet's name: others' datagrams are dropped.
+    fleet: u32,
+    pub incarnation: Incarnation,
+    pub body: Body,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Who is alive.
+    Alive(Vec<u8>),
+    Lease(Leases),
+    /// To members of the own region: claims that have lost, above all.
+    Fence(Claims),
+    /// To another region. Who gets it and is not the slice's home hands it on, once.
+    Far {
+        from: u16,
+        incarnation: Incarnation,
+        handed_on: bool,
+        far: Far,
+    },
+    Ask {
+        budget: u8,
+        ask: Ask,
+    },
+    Grant {
+        budget: u8,
+        under: Under,
+        grant: Grant,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Far {
+    Claims(Claims),
+    /// A principal asks for a part of another region's rate. `issued`: all that its home has handed out.
+    Want {
+        budget: u8,
+        number: u32,
+        claim: Claim,
+        rate: Amount,
+        issued: Amount,
+    },
+    Lent {
+        budget: u8,
+        number: u32,
+        claim: Claim,
+        rate: Amount,
+        issued: Amount,
+    },
+}
+
+/// Under what an amount was handed out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Under {
+    pub slice: Slice,
+    pub epoch: Epoch,
+    pub claim: Option<Claim>,
+}
+
+/// What was wrong with a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    TooLong,
+    Unreadable,
+    OtherVersion,
+    OtherFleet,
+}
+
+impl Unread {
+    pub fn label(self) -> &'static str {
+        match self {
+            Unread::TooLong => "too_long",
+            Unread::Unreadable => "unreadable",
+            Unread::OtherVersion => "other_version",
+            Unread::OtherFleet => "other_fleet",
+        }
+    }
+}
+
+/// A fleet's mark, from its name.
+pub fn mark(name: &str) -> u32 {
+    crate::hash::text(name) as u32
+}
+
+pub fn encode(fleet: u32, incarnation: Incarnation, body: Body) -> Result<Vec<u8>, Unread> {
+    let datagram = Datagram { version: VERSION, fleet, incarnation, body };
+    let bytes = postcard::to_stdvec(&datagram).map_err(|_| Unread::Unreadable)?;
+    if bytes.len() > LONGEST { Err(Unread::TooLong) } else { Ok(bytes) }
+}
+
+pub fn decode(fleet: u32, bytes: &[u8]) -> Result<Datagram, Unread> {
+    if bytes.len() > LONGEST {
+        return Err(Unread::TooLong);
+    }
+    // What follows may mean something else in another version.
+    if bytes.first() != Some(&VERSION) {
+        return Err(Unread::OtherVersion);
+    }
+    let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).map_err(|_| Unread::Unreadable)?;
+    if datagram.fleet != fleet {
+        return Err(Unread::OtherFleet);
+    }
+    if rest.is_empty() { Ok(datagram) } else { Err(Unread::Unreadable) }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+    use sagearch_homes::message::{CLAIMS, DENIALS, SLICES};
+    use sagearch_homes::{Region, Told};
+
+    const LAST: Slice = Slice(4_095);
+    const CLAIM: Claim = Claim { term: 1 << 40, region: Region(31), epoch: 1 << 53, incarnation: 1 << 53 };
+
+    fn told() -> Claims {
+        Claims(vec![Told { slice: LAST, claim: CLAIM, age: Some(100_000) }; CLAIMS])
+    }
+
+    /// With numbers as large as they come in some hundred years.
+    #[rstest]
+    #[case::alive(Body::Alive(vec![7; WITHIN]))]
+    #[case::ask(Body::Lease(Leases::Ask { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES] }))]
+    #[case::granted(Body::Lease(Leases::Granted {
+        to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES]
+    }))]
+    #[case::denied(Body::Lease(Leases::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); DENIALS] }))]
+    #[case::fence(Body::Fence(told()))]
+    #[case::claims(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Claims(told()) })]
+    #[case::lent(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Lent {
+        budget: 9, number: u32::MAX, claim: CLAIM, rate: u64::MAX, issued: u64::MAX
+    } })]
+    #[case::grant(Body::Grant {
+        budget: 9,
+        under: Under { slice: LAST, epoch: 1 << 53, claim: Some(CLAIM) },
+        grant: Grant { to: 1 << 53, number: u32::MAX, amount: u64::MAX },
+    })]
+    fn the_largest_of_each_fits_and_comes_back(#[case] body: Body) {
+        let bytes = encode(7, 1 << 53, body.clone()).unwrap();
+        assert_eq!(decode(7, &bytes).unwrap().body, body);
+        assert_eq!(decode(8, &bytes), Err(Unread::OtherFleet));
+        assert_eq!(decode(7, &bytes[..bytes.len() - 1]), Err(Unread::Unreadable));
+        let mut longer = bytes.clone();
+        longer.push(0);
+        assert!(decode(7, &longer).is_err());
+        let mut other = bytes;
+        other[0] = 2;
+        assert_eq!(decode(7, &other), Err(Unread::OtherVersion));
+    }
+
+    #[test]
+    fn any_bytes_are_read_or_not_and_never_a_panic() {
+        let mut random = 1_u64;
+        for length in 0..3_000_usize {
+            let mut bytes: Vec<u8> = (0..length % 260)
+                .map(|_| {
+                    random = crate::hash::mix(random.wrapping_add(0x9e37_79b9_7f4a_7c15));
+                    random as u8
+                })
+                .collect();
+            bytes.iter_mut().take(1).for_each(|first| *first = VERSION);
+            let _ = decode(7, &bytes);
+        }
+    }
+}
