--- a/crates/lab/src/act/fleet.rs
+++ b/crates/lab/src/act/fleet.rs
@@ -12,6 +12,7 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::ffi::OsString;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
@@ -25,6 +26,11 @@
 
 /// A gateway's log beyond this is not kept, but still read.
 const LOG_MOST: usize = 4 * 1024 * 1024;
+/// The same where what they say is judged.
+const SHARED_LOG_MOST: usize = 64 * 1024 * 1024;
+const LOG: &str = "log";
+/// What the gateways share, in the run's folder.
+const OPERATORS: &str = "gateway.kdl";
 /// What a gateway may hold.
 const MEMORY_MB: u64 = 192;
 const SOCKETS: u64 = 1_024;
@@ -43,6 +49,8 @@
     pub folder: PathBuf,
     pub settings: BTreeMap<String, Value>,
     pub seed: u64,
+    /// What gateways share, if anything.
+    pub sharing: Option<crate::scenario::Shared>,
 }
 
 struct Gateway {
@@ -69,7 +77,7 @@
 
 /// Ends with the laboratory, whatever ends that: the parent-death signal is set before the program takes the process's
 /// place, and stays with it.
-pub fn leash(parent: i32, program: &Path) -> io::Error {
+pub fn leash(parent: i32, program: &Path, arguments: &[OsString]) -> io::Error {
     use std::os::unix::process::CommandExt;
     if let Err(e) = nix::sys::prctl::set_pdeathsig(Signal::SIGKILL) {
         return e.into();
@@ -78,7 +86,7 @@
     if nix::unistd::getppid().as_raw() != parent {
         return io::Error::other("the laboratory has ended");
     }
-    std::process::Command::new(program).exec()
+    std::process::Command::new(program).args(arguments).exec()
 }
 
 /// Whether a gateway says that it is there.
@@ -120,9 +128,13 @@
         let folder = self.plan.folder.join(self.name(id));
         std::fs::create_dir_all(&folder)?;
         let config = self.configure(id, &folder)?;
-        let mut child = Command::new(&self.plan.leash)
-            .args(["leash", &std::process::id().to_string()])
-            .arg(&self.plan.program)
+        let mut command = Command::new(&self.plan.leash);
+        command.args(["leash", &std::process::id().to_string()]).arg(&self.plan.program);
+        if self.plan.sharing.is_some() {
+            // What homes do is read from what they say of it.
+            command.arg("--operators").arg(self.plan.folder.join(OPERATORS)).args(["--log", "debug"]);
+        }
+        let mut child = command
             .env("NODE_CONFIG", config)
             .env("TMPDIR", &folder)
             .env_remove("NODE_NAME")
@@ -135,7 +147,8 @@
             .kill_on_drop(true)
             .spawn()?;
         if let Some(log) = child.stderr.take() {
-            tokio::spawn(keep_log(log, folder.join("log")));
+            let most = if self.plan.sharing.is_some() { SHARED_LOG_MOST } else { LOG_MOST };
+            tokio::spawn(keep_log(log, folder.join(LOG), most));
         }
         self.recorder.see(What::Process { whom: id, life: Life::Started });
         Ok(child)
@@ -246,13 +259,13 @@
 }
 
 /// Keeps a log's begin, and reads the rest all the same, so that nobody waits for room.
-async fn keep_log(mut log: tokio::process::ChildStderr, path: PathBuf) {
+async fn keep_log(mut log: tokio::process::ChildStderr, path: PathBuf, most: usize) {
     let (mut kept, mut piece) = (0, vec![0; 8 * 1024]);
     let mut file = std::fs::File::options().create(true).append(true).open(path).ok();
     while let Ok(read) = log.read(&mut piece).await
         && read > 0
     {
-        if let Some(file) = file.as_mut().filter(|_| kept < LOG_MOST) {
+        if let Some(file) = file.as_mut().filter(|_| kept < most) {
             kept += read;
             let _ = io::Write::write_all(file, &piece[..read]);
         }
@@ -272,6 +285,15 @@
         let gateways = roster.of(Kind::Gateway).collect();
         let datagrams = Datagrams::start(net.clone(), links.clone(), gateways, plan.seed)?;
         let shared = Arc::new(Shared { plan, net, bus, datagrams, recorder, roster, starts });
+        if let Some(sharing) = &shared.plan.sharing {
+            let sites: Vec<String> = shared.plan.settings.keys().cloned().collect();
+            let members = |site: &String| {
+                let ids = shared.roster.of(Kind::Gateway).filter(|id| shared.roster.get(*id).site == *site);
+                ids.map(|id| (shared.name(id), shared.datagrams.peer(id).to_string())).collect()
+            };
+            let text = sharing.text(sites.iter().map(|site| (site.as_str(), members(site))));
+            std::fs::write(shared.plan.folder.join(OPERATORS), text)?;
+        }
         let (mut gateways, mut tasks) = (BTreeMap::new(), Vec::new());
         let ids: Vec<PartyId> = shared.roster.of(Kind::Gateway).collect();
         for id in ids {
@@ -324,6 +346,12 @@
         }
     }
 
+    /// Where each gateway's log is.
+    pub fn logs(&self) -> Vec<(PartyId, PathBuf)> {
+        let log = |id: &PartyId| (*id, self.shared.plan.folder.join(self.shared.name(*id)).join(LOG));
+        self.gateways.keys().map(log).collect()
+    }
+
     /// Ends all, and says of whom that did not go as it should.
     pub async fn end(self) -> Vec<String> {
         drop(self.gateways);
--- a/crates/lab/src/act/run.rs
+++ b/crates/lab/src/act/run.rs
@@ -10,7 +10,8 @@
 use crate::arrivals;
 use crate::budget::{self, Machine, Takes};
 use crate::check::faults::Faults;
-use crate::check::{Checker, Finding, Given};
+use crate::check::shared::{self, AtOrigin, Shown};
+use crate::check::{Checker, Finding, Given, Rule, rules};
 use crate::lives::Blows;
 use crate::model::world::Spec;
 use crate::outcome::{Figures, figures};
@@ -38,6 +39,8 @@
 const DEATH_TOLD: Duration = Duration::from_millis(700);
 /// How often who looks on is told how it goes.
 const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// Findings on what is shared that are kept.
+const MOST_FINDINGS: usize = 20;
 /// A cache that fell starts again after this.
 const FALLEN_FOR: Duration = Duration::from_secs(3);
 
@@ -57,6 +60,8 @@
     pub schedule: Vec<String>,
     pub figures: Vec<Figures>,
     pub findings: Vec<Finding>,
+    /// Where gateways share something.
+    pub shared: Option<Shown>,
     pub counts: BTreeMap<String, usize>,
     /// What went wrong at the end of processes.
     pub ends: Vec<String>,
@@ -214,6 +219,35 @@
     }
 }
 
+/// What gateways said of what they share.
+fn notes(scenario: &Scenario, logs: &[(PartyId, PathBuf)]) -> Vec<shared::Note> {
+    let mut notes = Vec::new();
+    for (id, path) in logs {
+        let site = &scenario.roster.get(*id).site;
+        // Bytes that are no text stand in no line of this.
+        let text = std::fs::read(path).unwrap_or_default();
+        let text = String::from_utf8_lossy(&text);
+        notes.extend(text.lines().filter_map(|line| shared::note(line, *id, site)));
+    }
+    notes
+}
+
+/// When the last cut between gateways of two sites is over, from the load's begin.
+fn healed(scenario: &Scenario, schedule: &Schedule) -> Option<Duration> {
+    let sites = |ids: &std::collections::BTreeSet<PartyId>| -> std::collections::BTreeSet<String> {
+        let gateways = ids.iter().filter(|id| scenario.roster.get(**id).kind == Kind::Gateway);
+        gateways.map(|id| scenario.roster.get(*id).site.clone()).collect()
+    };
+    let between = |plan: &&crate::schedule::Planned| match &plan.deed {
+        Deed::Link(on) if on.fault == crate::condition::LinkFault::Cut => {
+            let (from, to) = (sites(&on.from), sites(&on.to));
+            !from.is_empty() && !to.is_empty() && from != to
+        }
+        _ => false,
+    };
+    schedule.planned.iter().filter(between).map(|plan| plan.ends).max()
+}
+
 /// Plays a scenario. `tell` is called with what happens, for who looks on.
 pub async fn run(
     scenario: &Scenario,
@@ -237,10 +271,16 @@
         faults: Faults::new(&schedule, bus_id, load_begins.clone()),
         bounds: settings::bounds(scenario),
     };
+    let mut rules = rules::all();
+    let origin = scenario.roster.of(Kind::Origin).next();
+    if let (Some(shared), Some(origin)) = (&scenario.shared, origin) {
+        let at_origin = AtOrigin::new(shared, origin, scenario.sites.len() as u64);
+        rules.extend(at_origin.map(|rule| Box::new(rule) as Box<dyn Rule + Send>));
+    }
     let trace = File::create(options.folder.join("trace.jsonl")).map_err(io("the trace"))?;
     let recording = recorder::begin(
         links.clone(),
-        Checker::new(given),
+        Checker::with(rules, given),
         Tally::new(micros(scenario.model.warm_up)),
         BufWriter::new(trace),
     );
@@ -267,6 +307,7 @@
         folder: options.folder.clone(),
         settings: scenario.sites.iter().map(of_site).collect(),
         seed: options.seed,
+        sharing: scenario.shared.clone(),
     };
     let fleet = Fleet::start(plan, &scenario.roster, net, links.clone(), bus.clone(), seen.clone());
     let mut fleet = fleet.map_err(io("the fleet"))?;
@@ -330,11 +371,28 @@
         }
     }
     let _ = load.await;
+    let logs = hand.fleet.logs();
     let ends = hand.fleet.end().await;
     let outcomes = clients.outcomes();
     let (load_late, relay_late, relayed) = (clients.lateness(), links.lateness(), links.bytes());
     let (checker, tally, entries) = recording.finish().await.ok_or("the recorder has died")?;
-    let (findings, counts) = checker.end(links.now());
+    let (mut findings, mut counts) = checker.end(links.now());
+    let zero_us = micros(zero - begin);
+    let judged = scenario.shared.as_ref().map(|told| {
+        let mut notes = notes(scenario, &logs);
+        shared::judge(
+            &mut notes,
+            told,
+            epoch,
+            healed(scenario, &schedule).map(|at| epoch + zero_us + micros(at)),
+        )
+    });
+    let mut shown = None;
+    if let Some((of, found)) = judged {
+        found.iter().for_each(|finding| *counts.entry(finding.rule).or_default() += 1);
+        findings.extend(found.into_iter().take(MOST_FINDINGS));
+        shown = Some(of);
+    }
 
     let mut void = Vec::new();
     let mut slow = |what: &str, late: u64, most: Duration| {
@@ -351,6 +409,7 @@
         schedule: schedule.turns().into_iter().map(|turn| describe(scenario, &schedule, turn)).collect(),
         figures: figures(scenario, &outcomes),
         findings,
+        shared: shown,
         counts: counts.into_iter().map(|(rule, count)| (rule.to_string(), count)).collect(),
         ends,
         void,
--- a/crates/lab/src/check/mod.rs
+++ b/crates/lab/src/check/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod faults;
 pub mod rules;
+pub mod shared;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/lab/src/check/shared.rs
@@ -0,0 +1,411 @@
+//! Judges what gateways share: one home, fences, budgets. From what each says that it does as it does it (with the Unix
+//! time at which it decided), and, for budgets, from what came to the origin.
+
+use super::{About, Finding, Given, Rule};
+use crate::party::PartyId;
+use crate::scenario::Shared;
+use crate::trace::{Micros, Seen, What};
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+/// A claim, as gateways write it: term, region, epoch, incarnation.
+pub type Claim = (u64, u64, u64, u64);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Did {
+    /// Home of the slice from now on.
+    Gained {
+        epoch: u64,
+    },
+    /// It knows that it is no more.
+    Lost {
+        epoch: u64,
+    },
+    /// Handed out of a budget as home.
+    Acts {
+        epoch: u64,
+        claim: Option<Claim>,
+        amount: u64,
+    },
+    /// Sent a further attempt that was paid for.
+    Spends {
+        claim: Option<Claim>,
+    },
+    Claimed {
+        claim: Claim,
+    },
+    Left {
+        claim: Claim,
+    },
+    Fenced {
+        lost: Claim,
+        won: Claim,
+    },
+    Split {
+        lost: Claim,
+        won: Claim,
+    },
+}
+
+/// What one gateway said.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Note {
+    /// Unix microseconds.
+    pub at: u64,
+    pub gateway: PartyId,
+    pub site: String,
+    pub slice: u64,
+    pub did: Did,
+}
+
+/// The values behind a name in a line, in their order.
+fn values<'a>(line: &'a str, name: &'a str) -> impl Iterator<Item = u64> + 'a {
+    let words = line.split_ascii_whitespace();
+    words.filter_map(move |word| word.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+}
+
+fn claims(line: &str) -> Vec<Claim> {
+    let of = |name| values(line, name).collect::<Vec<_>>();
+    let (terms, regions, epochs, incarnations) =
+        (of("term"), of("region"), of("claim-epoch"), of("incarnation"));
+    let whole = regions.len().min(epochs.len()).min(incarnations.len());
+    (0..whole.min(terms.len())).map(|at| (terms[at], regions[at], epochs[at], incarnations[at])).collect()
+}
+
+/// Reads a line of a gateway's log, if it says something of this.
+pub fn note(line: &str, gateway: PartyId, site: &str) -> Option<Note> {
+    let (_, said) = line.split_once("sagearch::net::shared")?;
+    let words = ["gained", "lost", "acts", "spends", "claimed", "left", "fenced", "split"];
+    let (word, rest) = words.iter().find_map(|word| {
+        let at = said.find(&format!("{word} slice="))?;
+        Some((*word, &said[at..]))
+    })?;
+    let one = |name| values(rest, name).next();
+    let claims = claims(rest);
+    let claim = claims.first().copied();
+    let did = match word {
+        "gained" => Did::Gained { epoch: one("epoch")? },
+        "lost" => Did::Lost { epoch: one("epoch")? },
+        "acts" => Did::Acts { epoch: one("epoch")?, claim, amount: one("amount")? },
+        "spends" => Did::Spends { claim },
+        "claimed" => Did::Claimed { claim: claim? },
+        "left" => Did::Left { claim: claim? },
+        "fenced" => Did::Fenced { lost: claim?, won: *claims.get(1)? },
+        _ => Did::Split { lost: claim?, won: *claims.get(1)? },
+    };
+    Some(Note { at: one("at")?, gateway, site: site.into(), slice: one("slice")?, did })
+}
+
+/// What a run showed of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Shown {
+    pub homes_gained: usize,
+    pub grants: usize,
+    pub spends: usize,
+    pub claims: usize,
+    pub splits: usize,
+    pub fenced: usize,
+    /// From the end of the last cut between regions to the first that knew of the split, and to the last fence.
+    pub detected_ms: Option<i64>,
+    pub fenced_ms: Option<i64>,
+    /// The most that all gateways together spent in a window, of the amount.
+    pub worst_spent: BTreeMap<String, f64>,
+    /// Grants that a home refused to itself or others, and attempts not sent, for a fence: told by their absence after it.
+    pub after_fence: usize,
+}
+
+fn fault(rule: &'static str, at: u64, epoch: u64, text: String) -> Finding {
+    Finding { rule, at: at.saturating_sub(epoch), text, around: Vec::new() }
+}
+
+struct Tenure {
+    gateway: PartyId,
+    epoch: u64,
+    first: u64,
+    last: u64,
+}
+
+/// Never two homes of a slice in a region: who comes later begins after all that the one before did, under a later epoch.
+pub fn one_home(notes: &[Note], unix: u64, found: &mut Vec<Finding>) {
+    let mut tenures: BTreeMap<(&str, u64), BTreeMap<(u64, PartyId), Tenure>> = BTreeMap::new();
+    for note in notes {
+        let epoch = match note.did {
+            Did::Gained { epoch } | Did::Acts { epoch, .. } => epoch,
+            _ => continue,
+        };
+        let of = tenures.entry((&note.site, note.slice)).or_default();
+        let fresh = Tenure { gateway: note.gateway, epoch, first: note.at, last: note.at };
+        let tenure = of.entry((epoch, note.gateway)).or_insert(fresh);
+        tenure.first = tenure.first.min(note.at);
+        tenure.last = tenure.last.max(note.at);
+    }
+    for ((site, slice), of) in tenures {
+        let mut of: Vec<Tenure> = of.into_values().collect();
+        of.sort_by_key(|tenure| tenure.first);
+        for pair in of.windows(2) {
+            let [before, after] = pair else { continue };
+            if after.epoch <= before.epoch && after.gateway != before.gateway {
+                let text = format!("slice {slice} of {site}: epoch {} after {}", after.epoch, before.epoch);
+                found.push(fault("one home", after.first, unix, text));
+            }
+            if after.first < before.last && after.gateway != before.gateway {
+                let by = before.last - after.first;
+                let text = format!("slice {slice} of {site} had two homes for {by} us");
+                found.push(fault("one home", after.first, unix, text));
+            }
+        }
+    }
+}
+
+/// Who knows that a claim has lost does nothing under it; and the gateways of its region nothing once the stated time is
+/// over: what was handed out has ended by then, if they have heard nothing.
+pub fn fenced(notes: &[Note], shared: &Shared, unix: u64, found: &mut Vec<Finding>) -> usize {
+    let drift = 1_000 + shared.drift;
+    let longest = |budget: &crate::scenario::SharedBudget| {
+        budget.window.as_micros() as u64 * budget.overdraft / 500 * drift * drift / 1_000_000
+    };
+    let lasts = shared.budgets.iter().map(longest).max().unwrap_or(0);
+    let mut lost: HashMap<(u64, Claim), Vec<(PartyId, u64)>> = HashMap::new();
+    for note in notes {
+        if let Did::Fenced { lost: claim, .. } = note.did {
+            lost.entry((note.slice, claim)).or_default().push((note.gateway, note.at));
+        }
+    }
+    let mut looked_at = 0;
+    for note in notes {
+        let (claim, margin, what) = match note.did {
+            Did::Acts { claim: Some(claim), .. } => (claim, 0, "handed out"),
+            Did::Spends { claim: Some(claim) } => (claim, lasts, "spent"),
+            _ => continue,
+        };
+        let Some(fences) = lost.get(&(note.slice, claim)) else { continue };
+        looked_at += 1;
+        let own = fences.iter().filter(|(gateway, _)| *gateway == note.gateway).map(|(_, at)| *at).min();
+        let any = fences.iter().map(|(_, at)| *at + margin).min();
+        if own.is_some_and(|at| note.at > at) || any.is_some_and(|at| note.at > at) {
+            let text = format!(
+                "{:?} {what} of slice {} under term {} after its fence",
+                note.gateway, note.slice, claim.0
+            );
+            found.push(fault("fenced", note.at, unix, text));
+        }
+    }
+    looked_at
+}
+
+/// The most calls in any window, in parts of the amount.
+fn worst(mut times: Vec<u64>, window: u64, amount: u64) -> f64 {
+    times.sort_unstable();
+    let (mut from, mut most) = (0, 0);
+    for (at, time) in times.iter().enumerate() {
+        while times[from] + window <= *time {
+            from += 1;
+        }
+        most = most.max(at + 1 - from);
+    }
+    most as f64 / amount.max(1) as f64
+}
+
+fn bounded(what: &str, worst: f64, overdraft: u64, found: &mut Vec<Finding>) {
+    let most = 1.0 + overdraft as f64 / 100.0;
+    if worst > most {
+        let text = format!("{what}: {worst:.3} of the budget in one window, {most:.2} is the bound");
+        found.push(Finding { rule: "budget", at: 0, text, around: Vec::new() });
+    }
+}
+
+/// What all gateways say that they spent, together.
+pub fn budgets(notes: &[Note], shared: &Shared, found: &mut Vec<Finding>) -> BTreeMap<String, f64> {
+    let mut shown = BTreeMap::new();
+    for budget in &shared.budgets {
+        let mut by: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+        for note in notes.iter().filter(|note| matches!(note.did, Did::Spends { .. })) {
+            let of = if budget.federated { "all" } else { note.site.as_str() };
+            by.entry(of).or_default().push(note.at);
+        }
+        for (of, times) in by {
+            let worst = worst(times, budget.window.as_micros() as u64, budget.amount);
+            let what = format!("{} of {of}", budget.name);
+            bounded(&what, worst, budget.overdraft, found);
+            shown.insert(what, worst);
+        }
+    }
+    shown
+}
+
+/// All of a run. `healed`: when the last cut between sites was over, in Unix microseconds.
+pub fn judge(notes: &mut [Note], shared: &Shared, unix: u64, healed: Option<u64>) -> (Shown, Vec<Finding>) {
+    notes.sort_by_key(|note| note.at);
+    let mut found = Vec::new();
+    one_home(notes, unix, &mut found);
+    let after_fence = fenced(notes, shared, unix, &mut found);
+    let worst_spent = budgets(notes, shared, &mut found);
+    let count = |of: fn(&Did) -> bool| notes.iter().filter(|note| of(&note.did)).count();
+    let since = |at: u64| healed.map(|healed| (at as i64 - healed as i64) / 1_000);
+    let after = |of: fn(&Did) -> bool| {
+        notes
+            .iter()
+            .filter(move |note| of(&note.did))
+            .map(|note| note.at)
+            .filter(move |at| healed.is_some_and(|it| *at >= it))
+    };
+    let knew = |did: &Did| matches!(did, Did::Split { .. } | Did::Fenced { .. });
+    let shown = Shown {
+        homes_gained: count(|did| matches!(did, Did::Gained { .. })),
+        grants: count(|did| matches!(did, Did::Acts { .. })),
+        spends: count(|did| matches!(did, Did::Spends { .. })),
+        claims: count(|did| matches!(did, Did::Claimed { .. })),
+        splits: count(|did| matches!(did, Did::Split { .. })),
+        fenced: count(|did| matches!(did, Did::Fenced { .. })),
+        detected_ms: after(knew).min().and_then(since),
+        fenced_ms: after(|did| matches!(did, Did::Fenced { .. })).max().and_then(since),
+        worst_spent,
+        after_fence,
+    };
+    (shown, found)
+}
+
+/// Further attempts that came to the origin: no more in any window than the budget allows, whatever gateways say.
+pub struct AtOrigin {
+    origin: PartyId,
+    amount: u64,
+    window: Micros,
+    overdraft: u64,
+    seen: HashSet<u64>,
+    sent: Vec<u64>,
+}
+
+impl AtOrigin {
+    /// Of all sites together; `None`: no budget bounds that.
+    pub fn new(shared: &Shared, origin: PartyId, sites: u64) -> Option<AtOrigin> {
+        let budget = shared.budgets.iter().find(|budget| budget.name == "origin")?;
+        let times = if budget.federated { 1 } else { sites };
+        Some(AtOrigin {
+            origin,
+            amount: budget.amount * times,
+            window: budget.window.as_micros() as u64,
+            overdraft: budget.overdraft,
+            seen: HashSet::new(),
+            sent: Vec::new(),
+        })
+    }
+}
+
+impl Rule for AtOrigin {
+    fn name(&self) -> &'static str {
+        "budget"
+    }
+
+    fn see(&mut self, seen: &Seen, _: &Given, _: &mut Vec<(About, String)>) {
+        if let What::Arrived { id, store, sent, .. } = &seen.what
+            && *store == self.origin
+            && !self.seen.insert(*id)
+        {
+            self.sent.push(*sent);
+        }
+    }
+
+    fn end(&mut self, _: Micros, _: &Given, found: &mut Vec<(About, String)>) {
+        let mut findings = Vec::new();
+        let worst = worst(std::mem::take(&mut self.sent), self.window, self.amount);
+        bounded("further attempts at the origin", worst, self.overdraft, &mut findings);
+        found.extend(findings.into_iter().map(|finding| (About::Party(self.origin), finding.text)));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    fn scenario() -> crate::scenario::Scenario {
+        let text = "fleet { site \"a\" gateways=1 stores=1 }\nload rate=1\nphase \"one\" for=\"1s\"\n\
+            shared { budget \"origin\" amount=4 window=\"1s\" overdraft=50 of=\"federation\" }\n";
+        let files = sagearch_operators::OneFile { name: "s.kdl", text };
+        crate::scenario::read("s.kdl", &files).unwrap()
+    }
+
+    fn shared() -> Shared {
+        scenario().shared.unwrap()
+    }
+
+    fn said(at: u64, gateway: u16, site: &str, text: &str) -> Note {
+        let line = format!("2026-12-02T00:00:00Z DEBUG sagearch::net::shared: {text} at={at}");
+        note(&line, PartyId(gateway), site).expect(text)
+    }
+
+    fn rules(notes: &mut [Note]) -> Vec<&'static str> {
+        judge(notes, &shared(), 0, None).1.into_iter().map(|finding| finding.rule).collect()
+    }
+
+    #[test]
+    fn two_homes_at_one_time_are_found_and_one_after_another_are_not() {
+        let first = said(10, 1, "a", "gained slice=3 epoch=5");
+        let acts = said(30, 1, "a", "acts slice=3 epoch=5 term=0 budget=origin to=4 amount=1000");
+        let early = said(20, 2, "a", "gained slice=3 epoch=6");
+        let late = said(40, 2, "a", "gained slice=3 epoch=6");
+        let elsewhere = said(20, 2, "b", "gained slice=3 epoch=6");
+        let older = said(40, 2, "a", "gained slice=3 epoch=4");
+        assert_eq!(rules(&mut [first.clone(), acts.clone(), early]), ["one home"]);
+        assert_eq!(rules(&mut [first.clone(), acts.clone(), late]), [] as [&str; 0]);
+        assert_eq!(rules(&mut [first.clone(), acts.clone(), elsewhere]), [] as [&str; 0]);
+        assert_eq!(rules(&mut [first, acts, older]), ["one home"]);
+    }
+
+    #[test]
+    fn what_is_done_under_a_fence_is_found() {
+        let claim = "term=2 region=1 claim-epoch=7 incarnation=9";
+        let fence = said(
+            1_000,
+            1,
+            "a",
+            &format!("fenced slice=3 lost {claim} won term=3 region=0 claim-epoch=1 incarnation=1"),
+        );
+        let acts = |at, gateway| {
+            said(at, gateway, "a", &format!("acts slice=3 epoch=7 {claim} budget=origin to=4 amount=1000"))
+        };
+        let spends = |at| said(at, 2, "a", &format!("spends slice=3 {claim}"));
+        assert_eq!(rules(&mut [acts(999, 1), fence.clone()]), [] as [&str; 0]);
+        assert_eq!(rules(&mut [acts(1_001, 1), fence.clone()]), ["fenced"]);
+        // 0.1 s of an amount, and the drift of both clocks.
+        assert_eq!(rules(&mut [spends(100_000), fence.clone()]), [] as [&str; 0]);
+        assert_eq!(rules(&mut [spends(110_000), fence]), ["fenced"]);
+    }
+
+    #[test]
+    fn more_than_the_bound_in_one_window_is_found_wherever_it_was_spent() {
+        let spends = |count: u64, apart: u64| {
+            let one = |at: u64| {
+                said(at * apart, at as u16 % 3, if at % 2 == 0 { "a" } else { "b" }, "spends slice=3 term=0")
+            };
+            rules(&mut (0..count).map(one).collect::<Vec<_>>())
+        };
+        assert_eq!(spends(6, 100_000), [] as [&str; 0]);
+        assert_eq!(spends(7, 100_000), ["budget"]);
+        assert_eq!(spends(70, 170_000), [] as [&str; 0]);
+    }
+
+    #[test]
+    fn what_comes_to_the_origin_is_counted_whatever_gateways_say() {
+        let origin = PartyId(1);
+        let arrive = |id: u64, sent: Micros| Seen {
+            at: sent,
+            what: What::Arrived { id, attempt: sent, gateway: PartyId(2), store: origin, sent },
+        };
+        let found = |further: u64| {
+            let given = Given {
+                faults: super::super::faults::Faults::default(),
+                bounds: crate::settings::bounds(&scenario()),
+            };
+            let mut rule = AtOrigin::new(&shared(), origin, 2).unwrap();
+            let mut found = Vec::new();
+            for number in 0..=further {
+                rule.see(&arrive(7, number * 1_000), &given, &mut found);
+            }
+            rule.end(9, &given, &mut found);
+            found.len()
+        };
+        assert_eq!((found(6), found(7)), (0, 1));
+        assert_eq!(shared().budgets[0].window, Duration::from_secs(1));
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -76,7 +76,12 @@
     },
     /// Takes the place of itself by a program that ends when the laboratory does.
     #[command(hide = true)]
-    Leash { parent: i32, program: PathBuf },
+    Leash {
+        parent: i32,
+        program: PathBuf,
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        arguments: Vec<std::ffi::OsString>,
+    },
 }
 
 /// A line on standard output. Who reads no further, as `head` does, is no fault of the run.
@@ -269,7 +274,9 @@
         Command::Diff { before, after, results } => diff(&before, &after, &results),
         Command::Shrink { scenario, seed, gateway, tries } => shrunk(&scenario, seed, &gateway, tries),
         Command::Plan { scenario, seed } => plan(&scenario, seed),
-        Command::Leash { parent, program } => Err(fleet::leash(parent, &program).to_string()),
+        Command::Leash { parent, program, arguments } => {
+            Err(fleet::leash(parent, &program, &arguments).to_string())
+        }
     };
     done.unwrap_or_else(|text| {
         eprintln!("{text}");
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -144,8 +144,69 @@
     pub expect: Expect,
 }
 
+/// What the gateways share: the figures that the checker goes by, and the operators' text.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shared {
+    pub lease: Duration,
+    pub claim: Duration,
+    /// Thousandths.
+    pub drift: u64,
+    pub budgets: Vec<SharedBudget>,
+    properties: String,
+    children: String,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct SharedBudget {
+    pub name: String,
+    pub amount: u64,
+    pub window: Duration,
+    /// Percent.
+    pub overdraft: u64,
+    pub federated: bool,
+}
+
+impl Shared {
+    /// The operators' file of all gateways: each site is a region, whose members are told by name and address.
+    pub fn text<'a>(&self, regions: impl Iterator<Item = (&'a str, Vec<(String, String)>)>) -> String {
+        let mut text = format!("fleet \"lab\" {} {{\n", self.properties);
+        for (name, members) in regions.filter(|(_, members)| !members.is_empty()) {
+            text.push_str(&format!("    region {name:?} {{\n"));
+            members.iter().for_each(|(name, at)| text.push_str(&format!("        member {name:?} {at:?}\n")));
+            text.push_str("    }\n");
+        }
+        text.push_str(&self.children);
+        text.push_str("}\n");
+        text
+    }
+}
+
+fn shared(item: &Item) -> Result<Shared, Fault> {
+    let mut budgets = Vec::new();
+    for child in item.children() {
+        budgets.push(SharedBudget {
+            name: child.first_text().unwrap_or_default().to_string(),
+            amount: child.number("amount")?,
+            window: span(child, "window")?,
+            overdraft: child.number("overdraft")?,
+            federated: child.text("of")? == "federation",
+        });
+    }
+    let entries = item.node().entries().iter().map(|entry| entry.to_string().trim().to_string());
+    let children = item.children().iter().map(|child| format!("    {}\n", child.node().to_string().trim()));
+    Ok(Shared {
+        lease: span(item, "lease")?,
+        claim: span(item, "claim")?,
+        drift: item.number("drift")?,
+        budgets,
+        properties: entries.collect::<Vec<_>>().join(" "),
+        children: children.collect(),
+    })
+}
+
 #[derive(Clone, Debug)]
 pub struct Scenario {
+    pub shared: Option<Shared>,
     pub sites: Vec<Site>,
     pub parents: usize,
     pub roster: Roster,
@@ -410,6 +471,7 @@
         Some(item) => model(item)?,
         None => model(&bare_model())?,
     };
+    let sharing = find("shared").map(shared).transpose()?;
     let mut phases = Vec::new();
     for item in items.iter().filter(|item| item.name() == "phase") {
         let read = phase(item, &roster, &mut faults);
@@ -418,7 +480,7 @@
     if phases.is_empty() && faults.is_empty() {
         return Err(lacks("phase"));
     }
-    faults.or(Scenario { sites, parents, roster, model: read, load: asked, phases })
+    faults.or(Scenario { shared: sharing, sites, parents, roster, model: read, load: asked, phases })
 }
 
 /// A `model` that says nothing: all its defaults.
--- a/crates/lab/src/schema.rs
+++ b/crates/lab/src/schema.rs
@@ -2,7 +2,7 @@
 
 use sagearch_operators::schema::Kind::{Flag, Number, Span, Text, Word};
 use sagearch_operators::schema::Without::{Default, Fault, Nothing};
-use sagearch_operators::schema::{Kind, Property, Rule, Values, Without};
+use sagearch_operators::schema::{FLEET_PROPERTIES, Kind, Property, Rule, SHARED_BUDGET, Values, Without};
 
 const SECOND: u64 = 1_000;
 const HOUR: u64 = 3_600 * SECOND;
@@ -178,5 +178,14 @@
     "a part of the run",
 );
 
+static SHARED: Rule = node(
+    "shared",
+    Values::None,
+    FLEET_PROPERTIES,
+    &[&SHARED_BUDGET],
+    false,
+    "what the gateways share, as `fleet` states it in the operators' file; each site is a region",
+);
+
 pub static SCENARIO: Rule =
-    node("scenario", Values::None, &[], &[&FLEET, &MODEL, &LOAD, &PHASE], false, "a scenario");
+    node("scenario", Values::None, &[], &[&FLEET, &SHARED, &MODEL, &LOAD, &PHASE], false, "a scenario");
--- a/crates/operators/src/schema.rs
+++ b/crates/operators/src/schema.rs
@@ -475,7 +475,7 @@
     "gateways that share what they know closely: those of a location",
 ));
 
-static SHARED_BUDGET: Rule = many(node(
+pub static SHARED_BUDGET: Rule = many(node(
     "budget",
     Values::One(Word(&["origin"]), "name"),
     &[
@@ -499,37 +499,34 @@
     "what the gateways spend together; `origin`: further attempts at the origin",
 ));
 
+pub const FLEET_PROPERTIES: &[Property] = &[
+    property(
+        "slices",
+        Number(16, 4_096),
+        Default("256"),
+        "parts of shared state, each with a home of its own",
+    ),
+    property(
+        "lease",
+        Span(300, 60 * SECOND),
+        Default("3s"),
+        "how long a home may act on what a majority granted",
+    ),
+    property(
+        "claim",
+        Span(300, 600 * SECOND),
+        Default("3s"),
+        "after which a region that is not heard has no claim",
+    ),
+    property("drift", Number(0, 100), Default("10"), "thousandths by which a clock may run fast or slow"),
+    property("workers", Number(1, 16), Default("2"), "threads of the pool"),
+    property("rate", Number(10, 100_000), Default("2000"), "datagrams a second that a gateway sends at most"),
+];
+
 pub static FLEET: Rule = node(
     "fleet",
     Values::One(Text, "name"),
-    &[
-        property(
-            "slices",
-            Number(16, 4_096),
-            Default("256"),
-            "parts of shared state, each with a home of its own",
-        ),
-        property(
-            "lease",
-            Span(300, 60 * SECOND),
-            Default("3s"),
-            "how long a home may act on what a majority granted",
-        ),
-        property(
-            "claim",
-            Span(300, 600 * SECOND),
-            Default("3s"),
-            "after which a region that is not heard has no claim",
-        ),
-        property("drift", Number(0, 100), Default("10"), "thousandths by which a clock may run fast or slow"),
-        property("workers", Number(1, 16), Default("2"), "threads of the pool"),
-        property(
-            "rate",
-            Number(10, 100_000),
-            Default("2000"),
-            "datagrams a second that a gateway sends at most",
-        ),
-    ],
+    FLEET_PROPERTIES,
     &[&REGION, &SHARED_BUDGET],
     "what this gateway shares with others; the same in all their files",
 );
--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -184,6 +184,7 @@
             wanted: work.clone(),
             granted: receiver,
             floors: floors.clone(),
+            clock,
             counted: counted.clone(),
         }));
         ledger.push(Shelf {
@@ -714,7 +715,7 @@
         log::debug!(
             "acts slice={} epoch={epoch} {} at={} budget={name} to={} amount={}",
             slice.0,
-            claim.as_ref().map_or_else(|| "term=0".into(), shown),
+            shown_of(claim.as_ref()),
             self.clock.unix_us(leaves),
             who.member.0,
             grant.amount,
@@ -781,6 +782,11 @@
         .fold(0, |all, it| mix(all ^ it))
 }
 
+/// The same of what need not have one.
+fn shown_of(claim: Option<&Claim>) -> String {
+    claim.map_or_else(|| "term=0".into(), shown)
+}
+
 fn shown(claim: &Claim) -> String {
     let Claim { term, region, epoch, incarnation } = claim;
     format!("term={term} region={} claim-epoch={epoch} incarnation={incarnation}", region.0)
--- a/src/net/shared/spend.rs
+++ b/src/net/shared/spend.rs
@@ -3,6 +3,7 @@
 
 use super::wire::Under;
 use crate::interface::{Allowance, Micros, Paid};
+use crate::net::clock::Clock;
 use arc_swap::ArcSwap;
 use crossbeam_channel::{Receiver, Sender};
 use sagearch_homes::{Floors, Slice};
@@ -24,6 +25,7 @@
     pub wanted: Sender<super::Work>,
     pub granted: Receiver<(Grant, Under)>,
     pub floors: Arc<ArcSwap<Floors>>,
+    pub clock: Clock,
     pub counted: Arc<crate::metrics::Counted>,
 }
 
@@ -67,6 +69,12 @@
                 under.claim
             }
         };
+        log::debug!(
+            "spends slice={} {} at={}",
+            self.slice.0,
+            super::shown_of(claim.as_ref()),
+            self.clock.unix_us(now),
+        );
         Some(Paid { slice: self.slice, claim })
     }
 
