Claims: turns count from a giving up, later terms over other regions' claims, and calls told ahead

Slices of the debug lines show a region take back at once what it had just given up for the first in rank; a second region take what was given up for the first; a better rank claim the same term as a claim that still stood. Ruled out: loss (the relay dropped nothing) and late messages.

Now turns count from the giving up, the own region waits too, another region's claim is followed by a later term, and a claim says whether its forerunner had let go.

--- a/src/broker.rs
+++ b/src/broker.rs
@@ -232,6 +232,7 @@
 
     /// Runs what has come due and hands the verdicts to those who wait for them.
     pub fn tick(&mut self, now: Micros) {
+        self.router.shared.tick(now);
         while self.timers.peek().is_some_and(|Reverse((at, _))| *at <= now) {
             let Some(Reverse((_, due))) = self.timers.pop() else { return };
             let (id, verdict) = match due {
--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -788,6 +788,6 @@
 }
 
 fn shown(claim: &Claim) -> String {
-    let Claim { term, region, epoch, incarnation } = claim;
+    let Claim { term, region, epoch, incarnation, .. } = claim;
     format!("term={term} region={} claim-epoch={epoch} incarnation={incarnation}", region.0)
 }
--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -127,7 +127,8 @@
     use sagearch_homes::{Region, Told};
 
     const LAST: Slice = Slice(4_095);
-    const CLAIM: Claim = Claim { term: 1 << 40, region: Region(31), epoch: 1 << 53, incarnation: 1 << 53 };
+    const CLAIM: Claim =
+        Claim { term: 1 << 40, region: Region(31), epoch: 1 << 53, incarnation: 1 << 53, handed_over: true };
 
     fn told() -> Claims {
         Claims(vec![Told { slice: LAST, claim: CLAIM, age: Some(100_000) }; CLAIMS])
