--- a/crates/lab/src/act/run.rs
+++ b/crates/lab/src/act/run.rs
@@ -10,11 +10,11 @@
 use crate::arrivals;
 use crate::budget::{self, Machine, Takes};
 use crate::check::faults::Faults;
-use crate::check::shared::{self, AtOrigin, Shown};
-use crate::check::{Checker, Finding, Given, Rule, rules};
+use crate::check::shared::{self, AtOrigin};
+use crate::check::{Checker, Given, Rule, rules};
 use crate::lives::Blows;
 use crate::model::world::Spec;
-use crate::outcome::{Figures, figures};
+use crate::outcome::figures;
 use crate::party::{Kind, PartyId};
 use crate::picture;
 use crate::scenario::Scenario;
@@ -22,9 +22,9 @@
 use crate::settings::{self, PURGE_TAKES};
 use crate::tally::Tally;
 use crate::trace::{Micros, What};
+use crate::verdict::Verdict;
 use nix::sys::resource::{Resource, getrlimit, setrlimit};
-use serde::Serialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::fs::File;
 use std::io::BufWriter;
 use std::path::PathBuf;
@@ -51,36 +51,6 @@
     pub seed: u64,
 }
 
-/// What a run has shown.
-#[derive(Debug, Serialize)]
-pub struct Verdict {
-    pub seed: u64,
-    pub gateways: usize,
-    pub takes: Takes,
-    pub schedule: Vec<String>,
-    pub figures: Vec<Figures>,
-    pub findings: Vec<Finding>,
-    /// Where gateways share something.
-    pub shared: Option<Shown>,
-    pub counts: BTreeMap<String, usize>,
-    /// What went wrong at the end of processes.
-    pub ends: Vec<String>,
-    /// Why the run says nothing, where the laboratory or the machine was too slow.
-    pub void: Vec<String>,
-    pub entries: u64,
-    pub relayed_bytes: (u64, u64),
-    pub relay_late_us: (u64, u64),
-    pub load_late_us: u64,
-}
-
-impl Verdict {
-    pub fn holds(&self) -> bool {
-        self.findings.is_empty()
-            && self.ends.is_empty()
-            && self.figures.iter().all(|figures| figures.unmet.is_empty())
-    }
-}
-
 fn micros(span: Duration) -> Micros {
     span.as_micros() as Micros
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod shrink;
 pub mod tally;
 pub mod trace;
+pub mod verdict;
 pub mod wire;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use sagearch_lab::scenario::{self, Scenario};
 use sagearch_lab::schedule::Schedule;
 use sagearch_lab::shrink;
+use sagearch_lab::verdict::Verdict;
 use sagearch_operators::{Files, OneFile};
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -121,7 +122,7 @@
     gateway: &Path,
     folder: PathBuf,
     tell: impl FnMut(std::time::Duration, String),
-) -> Result<run::Verdict, String> {
+) -> Result<Verdict, String> {
     let gateway = gateway.canonicalize().map_err(|e| format!("{}: {e}", gateway.display()))?;
     let leash = std::env::current_exe().map_err(|e| e.to_string())?;
     let options = run::Options { gateway, leash, folder, seed };
--- a/crates/lab/src/picture.rs
+++ b/crates/lab/src/picture.rs
@@ -17,7 +17,7 @@
 /// What a page is made of.
 pub struct Run<'a> {
     pub title: &'a str,
-    pub verdict: &'a crate::act::run::Verdict,
+    pub verdict: &'a crate::verdict::Verdict,
     pub outcomes: &'a [Outcome],
     pub tally: &'a Tally,
     pub schedule: &'a Schedule,
@@ -186,9 +186,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::act::run::Verdict;
     use crate::budget;
     use crate::trace::{Seen, What};
+    use crate::verdict::Verdict;
     use sagearch_operators::OneFile;
 
     #[test]
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -1,6 +1,6 @@
 //! A verdict as text.
 
-use crate::act::run::Verdict;
+use crate::verdict::Verdict;
 use std::fmt::Write;
 
 /// Entries of a finding's stretch that are shown; the result file holds all.
