--- a/crates/homes/src/claims.rs
+++ b/crates/homes/src/claims.rs
@@ -185,11 +185,11 @@
         self.told + self.beat()
     }
 
-    /// The claim under which this gateway is the slice's principal right now, where `epoch` is that of its own lease.
+    /// The claim under which this gateway is the slice's principal right now, where `epoch` is that of its own lease. One
+    /// that has lost is dropped as soon as that is heard.
     pub fn principal(&self, now: Micros, slice: Slice, epoch: Option<Epoch>) -> Option<Claim> {
-        let own =
-            self.own.get(&slice).filter(|own| now >= own.acts_from && Some(own.claim.epoch) == epoch)?;
-        (!self.floors.fenced(slice, &own.claim)).then_some(own.claim)
+        let own = self.own.get(&slice)?;
+        (now >= own.acts_from && Some(own.claim.epoch) == epoch).then_some(own.claim)
     }
 
     /// From when on a slice may be claimed here.
--- a/crates/operators/src/fleet.rs
+++ b/crates/operators/src/fleet.rs
@@ -114,10 +114,12 @@
 
 pub(crate) fn fleet(item: &Item, faults: &mut Faults) -> Result<Fleet, Fault> {
     let (mut regions, mut budgets, mut next) = (Vec::<Region>::new(), Vec::<Budget>::new(), 0);
-    let drift = item.number("drift")?;
+    let (drift, mut unread) = (item.number("drift")?, false);
     for child in item.children() {
         if child.name() == "region" {
-            if let Some(read) = faults.keep(region(child, &mut next)) {
+            let read = faults.keep(region(child, &mut next));
+            unread |= read.is_none();
+            if let Some(read) = read {
                 if regions.iter().any(|other| other.name == read.name) {
                     faults.push(child.fault(format!("region {:?} stands twice", read.name)));
                 }
@@ -136,7 +138,9 @@
             faults.push(item.fault(format!("member {:?} or its address stands twice", member.name)));
         }
     }
-    if names.is_empty() || names.len() > MOST_MEMBERS || regions.len() > MOST_REGIONS {
+    // What could not be read is not told as missing as well.
+    let none = names.is_empty() && !unread;
+    if none || names.len() > MOST_MEMBERS || regions.len() > MOST_REGIONS {
         let cause = format!(
             "{} members in {} regions: from 1 to {MOST_MEMBERS} in at most {MOST_REGIONS} can be a fleet",
             names.len(),
@@ -156,3 +160,60 @@
         budgets,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Anywhere, parse};
+    use rstest::rstest;
+
+    const TWO: &str = "region \"a\" {\n member \"a1\" \"127.0.0.1:1\"\n member \"a2\" \"127.0.0.1:2\"\n}\n";
+
+    #[test]
+    fn a_fleet_is_read_with_its_defaults() {
+        let text = format!(
+            "fleet \"f\" {{\n{TWO}region \"b\" {{ member \"b1\" \"127.0.0.1:3\"; voters \"b1\"; }}\n budget \"origin\" amount=9\n}}\n"
+        );
+        let fleet = parse("f.kdl", &text, &Anywhere).unwrap().fleet.unwrap();
+        assert_eq!(
+            (fleet.slices, fleet.lease, fleet.drift, fleet.budgets[0].overdraft),
+            (256, 3_000, 10, 25)
+        );
+        let all: Vec<(usize, u16)> =
+            fleet.members().map(|(region, member)| (region, member.number)).collect();
+        assert_eq!(all, [(0, 0), (0, 1), (1, 2)]);
+        assert_eq!(fleet.regions[0].voters, [BTreeSet::from([0, 1])], "all, where none are named");
+        assert_eq!(fleet.regions[1].voters, [BTreeSet::from([2])]);
+    }
+
+    #[rstest]
+    #[case::nobody("", "f.kdl:1:1: ", "0 members")]
+    #[case::an_empty_region("region \"a\" {\n}\n", "f.kdl:2:1: ", "has no members")]
+    #[case::a_region_twice(&format!("{TWO}region \"a\" {{ member \"x\" \"127.0.0.1:9\"; }}\n"), "f.kdl:6:1: ", "stands twice")]
+    #[case::an_address_twice(
+        "region \"a\" {\n member \"a\" \"127.0.0.1:1\"\n member \"b\" \"127.0.0.1:1\"\n}\n",
+        "f.kdl:1:1: ",
+        "its address stands twice"
+    )]
+    #[case::a_voter_of_elsewhere(
+        "region \"a\" {\n member \"a\" \"127.0.0.1:1\"\n voters \"b\"\n}\n",
+        "f.kdl:4:2: ",
+        "\"b\" is no member"
+    )]
+    #[case::three_lists(
+        "region \"a\" {\n member \"a\" \"127.0.0.1:1\"\n voters \"a\"\n voters \"a\"\n voters \"a\"\n}\n",
+        "f.kdl:6:2: ",
+        "at most two lists"
+    )]
+    #[case::a_bound_that_can_t_be_kept(&format!("{TWO}budget \"origin\" amount=9 overdraft=5\n"), "f.kdl:6:26: ", "at least 8")]
+    #[case::a_budget_twice(&format!("{TWO}budget \"origin\" amount=9\nbudget \"origin\" amount=8\n"), "f.kdl:7:1: ", "stands twice")]
+    #[case::no_such_budget(&format!("{TWO}budget \"parents\" amount=9\n"), "f.kdl:6:8: ", "origin")]
+    fn what_can_t_be_a_fleet_is_told_with_its_place(
+        #[case] text: &str,
+        #[case] place: &str,
+        #[case] cause: &str,
+    ) {
+        let told = parse("f.kdl", &format!("fleet \"f\" {{\n{text}}}\n"), &Anywhere).unwrap_err().to_string();
+        assert!(told.starts_with(place) && told.contains(cause), "{told}");
+    }
+}
--- /dev/null
+++ b/tests/shared.rs
@@ -0,0 +1,100 @@
+//! What gateways share, on real sockets: a region of three finds homes and hands out of a budget; what comes from nobody, or
+//! from another fleet, is dropped and counted.
+
+use sagearch::interface::Allowance;
+use sagearch::metrics::Metrics;
+use sagearch::net::clock::Clock;
+use sagearch::net::shared::{self, Shared};
+use sagearch_operators::{Anywhere, parse};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+struct Member {
+    metrics: Metrics,
+    clock: Clock,
+    budget: Box<dyn Allowance>,
+    shared: Arc<Shared>,
+}
+
+/// Addresses that nobody has: bound for a moment, on an address of this process's own.
+fn addresses(count: usize) -> Vec<SocketAddr> {
+    let own = std::process::id();
+    let ip = format!("127.{}.{}.7:0", 32 + own / 250 % 90, 1 + own % 250);
+    let sockets: Vec<UdpSocket> = (0..count).map(|_| UdpSocket::bind(&ip).unwrap()).collect();
+    sockets.iter().map(|socket| socket.local_addr().unwrap()).collect()
+}
+
+fn start(fleet: &str, addresses: &[SocketAddr], at: usize) -> Member {
+    let members =
+        addresses.iter().enumerate().map(|(at, address)| format!("member \"g{at}\" \"{address}\"\n"));
+    let text = format!(
+        "fleet \"{fleet}\" slices=16 lease=\"300ms\" {{\nregion \"east\" {{\n{}}}\nbudget \"origin\" amount=400 window=\"2s\" overdraft=50\n}}\n",
+        members.collect::<String>()
+    );
+    let fleet = parse("fleet.kdl", &text, &Anywhere).unwrap().fleet.unwrap();
+    let (metrics, clock) = (Metrics::default(), Clock::default());
+    let counted = metrics.shared.clone();
+    let started =
+        shared::start(&fleet, &format!("g{at}"), None, clock, 7 + at as u64, counted).unwrap().unwrap();
+    let mut budgets = started.budgets;
+    Member { metrics, clock, budget: budgets.remove(0), shared: started.shared }
+}
+
+impl Member {
+    fn figure(&self, name: &str) -> f64 {
+        let text = self.metrics.text();
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+    }
+}
+
+fn wait_for(what: &str, mut check: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !check() {
+        assert!(since.elapsed() < Duration::from_secs(30), "{what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn three_find_homes_share_a_budget_and_hear_nobody_else() {
+    let addresses = addresses(4);
+    let mut members: Vec<Member> = (0..3).map(|at| start("edge", &addresses[..3], at)).collect();
+    let homes =
+        |members: &[Member]| members.iter().map(|it| it.figure("sagearch_shared_homes ")).sum::<f64>();
+    wait_for("each slice has one home", || {
+        let each = members.iter().all(|it| it.figure("sagearch_shared_homes ") >= 1.0);
+        each && homes(&members) == 16.0
+    });
+    // Each can pay, also who is not the home: told of ahead, as further attempts are.
+    for member in &mut members {
+        wait_for("an amount", || {
+            let now = member.clock.now();
+            member.budget.expect(now, now + 20_000);
+            std::thread::sleep(Duration::from_millis(30));
+            member.budget.tick(member.clock.now());
+            member.budget.spend(member.clock.now());
+            member.figure("sagearch_shared_spent_total{what=\"leased\"}") >= 3.0
+        });
+    }
+    let stranger = UdpSocket::bind(addresses[3]).unwrap();
+    stranger.send_to(b"hello", addresses[0]).unwrap();
+    wait_for("a stranger is counted", || {
+        members[0].figure("sagearch_shared_dropped_total{what=\"stranger\"}") >= 1.0
+    });
+    // One leaves: what it held has homes again, at those who are left.
+    let left = members.pop().unwrap();
+    left.shared.end();
+    wait_for("two are home of all", || homes(&members) == 16.0);
+}
+
+#[test]
+fn another_fleet_at_a_members_address_is_not_heard() {
+    let addresses = addresses(2);
+    let one = start("edge", &addresses, 0);
+    let _other = start("core", &addresses, 1);
+    wait_for("it is counted", || one.figure("sagearch_shared_dropped_total{what=\"other_fleet\"}") >= 2.0);
+    assert_eq!(one.figure("sagearch_shared_members "), 0.0);
+    assert_eq!(one.figure("sagearch_shared_homes "), 0.0, "one of two voters is no majority");
+}
