Names: connections, their states, permits and messages; unit tests in files of their own

The issue asks for the field's terms where code is touched: Seat/Sitting to Entry/Connection, At to ConnectionState, Place to Permit, Held to ConnectionCounts, Note to Message, Asked/Taken to RequestKind/ParsedRequest, Leaving to ConnectionDraining. Inline tests of the files that the mends touch move to tests.rs beside them. No change of behaviour.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,7 +1,7 @@
 //! The table of clients that are connected: who may stay, who makes way, and what each connection is at.
 
 use super::lock;
-use super::service::{Client, Leaving};
+use super::service::{Client, ConnectionDraining};
 use super::tls::Secure;
 use may::io::WaitIo;
 use may::net::TcpStream;
@@ -35,7 +35,7 @@
 
 /// What a connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum At {
+pub(super) enum ConnectionState {
     /// Its TLS handshake is under way, for so long at most.
     Shaking(Duration),
     /// No request has been whole yet on it, or one has begun.
@@ -48,30 +48,30 @@
     Draining,
 }
 
-impl At {
+impl ConnectionState {
     fn longest(self) -> Option<Duration> {
         match self {
-            At::Shaking(within) => Some(within),
-            At::Asking => Some(SLOWEST),
-            At::Open => None,
-            At::Writing => Some(WRITE_STUCK),
-            At::Idle => Some(IDLE),
-            At::Draining => Some(DRAIN),
+            ConnectionState::Shaking(within) => Some(within),
+            ConnectionState::Asking => Some(SLOWEST),
+            ConnectionState::Open => None,
+            ConnectionState::Writing => Some(WRITE_STUCK),
+            ConnectionState::Idle => Some(IDLE),
+            ConnectionState::Draining => Some(DRAIN),
         }
     }
 }
 
-struct Seat {
+struct Entry {
     stream: Arc<TcpStream>,
     secure: Option<Arc<Secure>>,
-    at: At,
+    at: ConnectionState,
     since: Instant,
 }
 
 /// The clients that are connected. A full table makes room by closing who has been idle longest; only where
 /// all have a request open is a new one refused.
 pub struct Clients {
-    seats: Mutex<BTreeMap<u64, Seat>>,
+    entries: Mutex<BTreeMap<u64, Entry>>,
     next: AtomicU64,
     most: usize,
     /// A lower bound that operators state; `MAX`: none.
@@ -79,20 +79,20 @@
     /// Places that are not to be had now: during an upgrade the other process of this gateway holds them.
     taken: AtomicUsize,
     /// Clients that are told of the full table.
-    pub(super) lobby: Arc<AtomicUsize>,
-    pub(super) lobby_most: usize,
+    pub(super) refusing: Arc<AtomicUsize>,
+    pub(super) most_refusing: usize,
     answered: Mutex<(HashSet<u64>, VecDeque<u64>)>,
 }
 
 /// A client's place in the table, until it is dropped.
-pub(super) struct Sitting<'a> {
+pub(super) struct Connection<'a> {
     pub clients: &'a Clients,
     number: u64,
     pub stream: Arc<TcpStream>,
     pub secure: Option<Arc<Secure>>,
 }
 
-impl Client for Sitting<'_> {
+impl Client for Connection<'_> {
     fn still_there(&self) -> bool {
         match &self.secure {
             Some(secure) => secure.still_there(&self.stream),
@@ -104,22 +104,22 @@
     }
 }
 
-impl Drop for Sitting<'_> {
+impl Drop for Connection<'_> {
     fn drop(&mut self) {
-        lock(&self.clients.seats).remove(&self.number);
+        lock(&self.clients.entries).remove(&self.number);
     }
 }
 
-impl Sitting<'_> {
-    pub(super) fn is_at(&self, at: At) {
-        if let Some(seat) = lock(&self.clients.seats).get_mut(&self.number) {
-            (seat.at, seat.since) = (at, Instant::now());
+impl Connection<'_> {
+    pub(super) fn set_state(&self, at: ConnectionState) {
+        if let Some(entry) = lock(&self.clients.entries).get_mut(&self.number) {
+            (entry.at, entry.since) = (at, Instant::now());
         }
     }
 
     /// Writes a head and a body. A client that takes none of it for long is closed by [`Clients::sweep`].
     pub(super) fn send(&self, parts: [&[u8]; 2]) -> io::Result<()> {
-        self.is_at(At::Writing);
+        self.set_state(ConnectionState::Writing);
         if let Some(secure) = &self.secure {
             return parts.into_iter().try_for_each(|bytes| secure.write(&self.stream, bytes));
         }
@@ -170,7 +170,7 @@
 
     /// Ends the connection after its last answer, so that the client can read that.
     pub(super) fn end(&self, piece: &mut [u8]) -> io::Result<()> {
-        self.is_at(At::Draining);
+        self.set_state(ConnectionState::Draining);
         if let Some(secure) = &self.secure {
             secure.close(&self.stream)?;
         }
@@ -193,29 +193,34 @@
 
 impl Clients {
     /// `most` may be connected, and a few more are told that the table is full.
-    pub fn new(most: usize, lobby_most: usize) -> Clients {
+    pub fn new(most: usize, most_refusing: usize) -> Clients {
         Clients {
-            seats: Mutex::default(),
+            entries: Mutex::default(),
             next: AtomicU64::new(0),
             most,
             stated: AtomicUsize::new(usize::MAX),
             taken: AtomicUsize::new(0),
-            lobby: Arc::default(),
-            lobby_most,
+            refusing: Arc::default(),
+            most_refusing,
             answered: Mutex::default(),
         }
     }
 
-    pub(super) fn sit(&self, stream: Arc<TcpStream>, secure: Option<Arc<Secure>>, at: At) -> Sitting<'_> {
+    pub(super) fn register(
+        &self,
+        stream: Arc<TcpStream>,
+        secure: Option<Arc<Secure>>,
+        at: ConnectionState,
+    ) -> Connection<'_> {
         let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let seat = Seat { stream: stream.clone(), secure: secure.clone(), at, since: Instant::now() };
-        lock(&self.seats).insert(number, seat);
-        Sitting { clients: self, number, stream, secure }
+        let entry = Entry { stream: stream.clone(), secure: secure.clone(), at, since: Instant::now() };
+        lock(&self.entries).insert(number, entry);
+        Connection { clients: self, number, stream, secure }
     }
 
     /// How many clients are connected.
-    pub fn seated(&self) -> usize {
-        lock(&self.seats).len()
+    pub fn connected(&self) -> usize {
+        lock(&self.entries).len()
     }
 
     /// Bounds the table by what operators state, below what the descriptors allow.
@@ -236,48 +241,51 @@
     /// bound of their own, and beyond it the oldest of them makes way: begun and left, they take no place from
     /// clients that have been served.
     pub(super) fn room(&self, handshakes: Option<usize>) -> bool {
-        let mut seats = lock(&self.seats);
-        let shaking = |seat: &Seat| matches!(seat.at, At::Shaking(_));
+        let mut entries = lock(&self.entries);
+        let shaking = |entry: &Entry| matches!(entry.at, ConnectionState::Shaking(_));
         let handshakes = handshakes.map(|most| most.min(self.most / 4).max(1));
         let crowded =
-            handshakes.is_some_and(|most| seats.values().filter(|seat| shaking(seat)).count() >= most);
-        if seats.len() < self.most() && !crowded {
+            handshakes.is_some_and(|most| entries.values().filter(|entry| shaking(entry)).count() >= most);
+        if entries.len() < self.most() && !crowded {
             return true;
         }
         let now = Instant::now();
-        let rank = |seat: &Seat| match seat.at {
-            At::Shaking(_) if crowded => Some(0),
+        let rank = |entry: &Entry| match entry.at {
+            ConnectionState::Shaking(_) if crowded => Some(0),
             _ if crowded => None,
-            At::Draining if now - seat.since > SILENT => Some(0),
-            At::Shaking(_) | At::Asking if now - seat.since > SILENT => Some(1),
-            At::Idle => Some(2),
+            ConnectionState::Draining if now - entry.since > SILENT => Some(0),
+            ConnectionState::Shaking(_) | ConnectionState::Asking if now - entry.since > SILENT => Some(1),
+            ConnectionState::Idle => Some(2),
             _ => None,
         };
-        let first = seats.iter().filter_map(|(number, seat)| Some((rank(seat)?, seat.since, *number))).min();
+        let first =
+            entries.iter().filter_map(|(number, entry)| Some((rank(entry)?, entry.since, *number))).min();
         // Taken out at once: its coroutine wakes up to find its connection over.
-        let closed = first.and_then(|(.., number)| seats.remove(&number));
-        closed.is_some_and(|seat| seat.stream.shutdown(Shutdown::Both).is_ok())
+        let closed = first.and_then(|(.., number)| entries.remove(&number));
+        closed.is_some_and(|entry| entry.stream.shutdown(Shutdown::Both).is_ok())
     }
 
     /// Ends what has lasted too long, and connections without a request while the gateway sends its clients
     /// away.
-    pub fn sweep(&self, leaving: Option<Leaving>) {
+    pub fn sweep(&self, draining: Option<ConnectionDraining>) {
         let now = Instant::now();
-        let away = |seat: &Seat| match (seat.at, leaving) {
-            (At::Idle, Some(leaving)) => leaving.since > leaving.idle,
-            (At::Asking, Some(leaving)) => leaving.since > leaving.asking && now - seat.since > SILENT * 5,
+        let away = |entry: &Entry| match (entry.at, draining) {
+            (ConnectionState::Idle, Some(draining)) => draining.since > draining.idle,
+            (ConnectionState::Asking, Some(draining)) => {
+                draining.since > draining.asking && now - entry.since > SILENT * 5
+            }
             _ => false,
         };
-        for seat in lock(&self.seats).values() {
+        for entry in lock(&self.entries).values() {
             // A read from a handshake that lasts too long must not be taken for a client's end.
-            if matches!(seat.at, At::Shaking(within) if now - seat.since > within) {
-                let _ = seat.stream.shutdown(Shutdown::Both);
+            if matches!(entry.at, ConnectionState::Shaking(within) if now - entry.since > within) {
+                let _ = entry.stream.shutdown(Shutdown::Both);
                 continue;
             }
-            if seat.at.longest().is_some_and(|longest| now - seat.since > longest) || away(seat) {
+            if entry.at.longest().is_some_and(|longest| now - entry.since > longest) || away(entry) {
                 // Who has sent part of a request is still told so; all others are done with.
-                let way = if seat.at == At::Asking { Shutdown::Read } else { Shutdown::Both };
-                let _ = seat.stream.shutdown(way);
+                let way = if entry.at == ConnectionState::Asking { Shutdown::Read } else { Shutdown::Both };
+                let _ = entry.stream.shutdown(way);
             }
         }
     }
@@ -288,11 +296,11 @@
         if !guard.is_on() {
             return;
         }
-        let idle = |seat: &&Seat| seat.at == At::Idle;
-        let held: Vec<(Arc<TcpStream>, Arc<Secure>)> = lock(&self.seats)
+        let idle = |entry: &&Entry| entry.at == ConnectionState::Idle;
+        let held: Vec<(Arc<TcpStream>, Arc<Secure>)> = lock(&self.entries)
             .values()
             .filter(idle)
-            .filter_map(|seat| Some((seat.stream.clone(), seat.secure.clone()?)))
+            .filter_map(|entry| Some((entry.stream.clone(), entry.secure.clone()?)))
             .collect();
         for (stream, secure) in held {
             let over = |shown| guard.ends_soon(shown) || !guard.certificate_stands(shown);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -3,10 +3,10 @@
 use super::clients::Clients;
 use super::clock::Clock;
 use super::identity::Guard;
-use super::service::{Client, Final, Leaving, Service, Work};
+use super::service::{Client, ConnectionDraining, Final, Service, Work};
 use super::snapshot::Snapshot;
 use super::store::{Answered, End, Limits, Reply, Stores, Ticket};
-use super::{Place, lock};
+use super::{Permit, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use crate::events::{self, Batch, Event, list_kind};
 use crate::interface::*;
@@ -35,7 +35,7 @@
 
 /// What a waiting request is told.
 #[derive(Debug)]
-pub enum Note {
+pub enum Message {
     Verdict(Verdict),
     Reply {
         attempt: u32,
@@ -49,32 +49,32 @@
 
 /// Where a request's coroutine waits. Sending never blocks.
 #[derive(Clone)]
-pub struct Mailbox(mpsc::Sender<Note>);
+pub struct Mailbox(mpsc::Sender<Message>);
 
 impl Waiter for Mailbox {
     fn deliver(&self, verdict: Verdict) {
-        let _ = self.0.send(Note::Verdict(verdict));
+        let _ = self.0.send(Message::Verdict(verdict));
     }
 
     fn give_up(&self, attempt: u32) {
-        let _ = self.0.send(Note::GiveUp(attempt));
+        let _ = self.0.send(Message::GiveUp(attempt));
     }
 }
 
 impl Answered for Mailbox {
     fn reply(&self, attempt: u32, reply: Reply) {
-        let _ = self.0.send(Note::Reply { attempt, reply });
+        let _ = self.0.send(Message::Reply { attempt, reply });
     }
 }
 
 /// Connections of a process, or at most so many.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
-pub(super) struct Held {
+pub(super) struct ConnectionCounts {
     clients: usize,
     stores: usize,
 }
 
-impl Held {
+impl ConnectionCounts {
     /// Places of clients that one process lacks for what the other holds, and for its own connections to stores.
     fn over(self, stores: usize, most_stores: usize) -> usize {
         (self.clients + self.stores + stores).saturating_sub(most_stores)
@@ -167,13 +167,13 @@
     }
 
     /// What this process holds.
-    pub(super) fn held(&self) -> Held {
-        Held { clients: self.clients.seated(), stores: self.stores.connections() }
+    pub(super) fn held(&self) -> ConnectionCounts {
+        ConnectionCounts { clients: self.clients.connected(), stores: self.stores.connections() }
     }
 
     /// Leaves to the other process of this gateway what it holds: two have no more than one. Clients may be as
     /// many as ever as long as there are descriptors, as those of both kinds are one budget.
-    pub(super) fn leave_to(&self, there: Held) {
+    pub(super) fn leave_to(&self, there: ConnectionCounts) {
         self.clients.take_places(there.over(self.held().stores, self.most_stores));
         self.stores.take_places(there.stores);
     }
@@ -221,7 +221,7 @@
         work: &Work,
         client: Option<&dyn Client>,
         mailbox: &Mailbox,
-        notes: &mpsc::Receiver<Note>,
+        messages: &mpsc::Receiver<Message>,
     ) -> Final {
         let id = request.id;
         let mut out = Out { sent: Vec::new(), waiting: VecDeque::new(), settled: Instant::now() };
@@ -237,11 +237,11 @@
                 let ticket = self.send(&order, work, mailbox);
                 out.sent.push((order, ticket));
             }
-            match out.note(notes) {
+            match out.message(messages) {
                 None => {}
-                Some(Note::Verdict(next)) => verdict = Some(next),
-                Some(Note::GiveUp(attempt)) => out.give_up(attempt),
-                Some(Note::Reply { attempt, reply }) => {
+                Some(Message::Verdict(next)) => verdict = Some(next),
+                Some(Message::GiveUp(attempt)) => out.give_up(attempt),
+                Some(Message::Reply { attempt, reply }) => {
                     let Some((order, ticket)) = out.take(attempt) else { continue };
                     if reply.end == End::Reset {
                         out.settled = Instant::now() + ticket.settles();
@@ -253,8 +253,8 @@
                         Next::Wait => {}
                     }
                 }
-                Some(Note::Look) if client.is_none_or(Client::still_there) => {}
-                Some(Note::Look) => {
+                Some(Message::Look) if client.is_none_or(Client::still_there) => {}
+                Some(Message::Look) => {
                     self.broker().abandon(self.clock.now(), id);
                     break Final::Gone;
                 }
@@ -308,7 +308,7 @@
 
     pub(super) fn watch(&self) {
         lock(&self.watched).values().for_each(|mailbox| {
-            let _ = mailbox.0.send(Note::Look);
+            let _ = mailbox.0.send(Message::Look);
         });
     }
 }
@@ -329,7 +329,7 @@
         work: &Work,
         client: Option<&dyn Client>,
     ) -> Final {
-        let (mail, notes) = mpsc::channel();
+        let (mail, messages) = mpsc::channel();
         let mailbox = Mailbox(mail);
         let watch = client.map(|_| self.watches.fetch_add(1, Ordering::Relaxed));
         if let Some(watch) = watch {
@@ -345,7 +345,7 @@
             request.size_kb,
             request.budget / 1_000,
         );
-        let end = self.run(request, caller, work, client, &mailbox, &notes);
+        let end = self.run(request, caller, work, client, &mailbox, &messages);
         log::debug!("{:016x} ends: {}", id.0, end.label());
         if let Some(watch) = watch {
             lock(&self.watched).remove(&watch);
@@ -353,8 +353,8 @@
         end
     }
 
-    fn taken(&self) -> Option<Place> {
-        Place::take(&self.open, usize::MAX)
+    fn taken(&self) -> Option<Permit> {
+        Permit::take(&self.open, usize::MAX)
     }
 
     fn used(&self, id: u64) {
@@ -368,14 +368,14 @@
         (since + self.stay()).saturating_sub(self.clock.now() + STAY_SPARE)
     }
 
-    fn leaving(&self) -> Option<Leaving> {
+    fn draining(&self) -> Option<ConnectionDraining> {
         let since = |at: Micros| Duration::from_micros(self.clock.now().saturating_sub(at));
         if let Some(at) = self.stopping.get().filter(|_| self.socket_shared) {
             let idle = HANDED_OVER_IDLE.min(Duration::from_micros(self.stay() - LAST_REQUEST));
-            return Some(Leaving { since: since(*at), idle, asking: idle });
+            return Some(ConnectionDraining { since: since(*at), idle, asking: idle });
         }
         let at = self.broker().drained()?;
-        Some(Leaving { since: since(at), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
+        Some(ConnectionDraining { since: since(at), idle: DRAINED_IDLE, asking: DRAINED_ASKING })
     }
 
     fn drained(&self) -> bool {
@@ -405,13 +405,13 @@
         if Instant::now() < self.settled { None } else { self.waiting.pop_front() }
     }
 
-    /// The next note; `None`: it is time to send what waits.
-    fn note(&self, notes: &mpsc::Receiver<Note>) -> Option<Note> {
+    /// The next message; `None`: it is time to send what waits.
+    fn message(&self, messages: &mpsc::Receiver<Message>) -> Option<Message> {
         if self.waiting.is_empty() {
             // The sender lives as long as the request.
-            return notes.recv().ok();
+            return messages.recv().ok();
         }
-        notes.recv_timeout(self.settled.saturating_duration_since(Instant::now())).ok()
+        messages.recv_timeout(self.settled.saturating_duration_since(Instant::now())).ok()
     }
 
     fn take(&mut self, attempt: u32) -> Option<(Order, Ticket<Mailbox>)> {
@@ -466,47 +466,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    fn order(attempt: u32) -> Order {
-        let (request, member, caller) = (RequestId(1), MemberId(1), Caller::anonymous());
-        Order { request, attempt, member, timeout: 1, fill: None, picked: 0, caller }
-    }
-
-    #[test]
-    fn an_attempt_waits_for_the_kill_before_it_but_no_verdict_waits_with_it() {
-        let (mail, notes) = mpsc::channel();
-        let (began, waits) = (Instant::now(), Duration::from_millis(40));
-        let mut out = Out { sent: Vec::new(), waiting: VecDeque::from([order(1)]), settled: began + waits };
-        assert!(out.due().is_none());
-        assert!(out.note(&notes).is_none());
-        assert!(began.elapsed() >= waits);
-        assert_eq!(out.due().map(|order| order.attempt), Some(1));
-        out.waiting.push_back(order(2));
-        out.settled = Instant::now() + Duration::from_secs(60);
-        mail.send(Note::Verdict(Verdict::Failed)).unwrap();
-        assert!(matches!(out.note(&notes), Some(Note::Verdict(Verdict::Failed))));
-    }
-
-    #[test]
-    fn an_attempt_whose_time_is_over_before_it_went_out_is_never_sent() {
-        let mut out =
-            Out { sent: Vec::new(), waiting: VecDeque::from([order(1), order(2)]), settled: Instant::now() };
-        out.give_up(1);
-        assert_eq!(out.due().map(|order| order.attempt), Some(2));
-        assert!(out.due().is_none());
-    }
-
-    /// Of 384 descriptors 153 are for clients and 128 for stores, however two processes share them.
-    #[rstest]
-    #[case::alone(Held { clients: 0, stores: 0 }, 128, 0)]
-    #[case::an_old_one_with_many_idle(Held { clients: 100, stores: 8 }, 50, 30)]
-    #[case::an_old_one_that_waits_for_stores(Held { clients: 100, stores: 60 }, 50, 82)]
-    #[case::a_small_one(Held { clients: 20, stores: 10 }, 30, 0)]
-    fn two_processes_hold_no_more_than_one(#[case] there: Held, #[case] stores: usize, #[case] taken: usize) {
-        assert_eq!(there.over(stores, 128), taken);
-        assert!(153 - taken + there.clients + stores + there.stores <= 153 + 128);
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/core/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use rstest::rstest;
+
+fn order(attempt: u32) -> Order {
+    let (request, member, caller) = (RequestId(1), MemberId(1), Caller::anonymous());
+    Order { request, attempt, member, timeout: 1, fill: None, picked: 0, caller }
+}
+
+#[test]
+fn an_attempt_waits_for_the_kill_before_it_but_no_verdict_waits_with_it() {
+    let (mail, messages) = mpsc::channel();
+    let (began, waits) = (Instant::now(), Duration::from_millis(40));
+    let mut out = Out { sent: Vec::new(), waiting: VecDeque::from([order(1)]), settled: began + waits };
+    assert!(out.due().is_none());
+    assert!(out.message(&messages).is_none());
+    assert!(began.elapsed() >= waits);
+    assert_eq!(out.due().map(|order| order.attempt), Some(1));
+    out.waiting.push_back(order(2));
+    out.settled = Instant::now() + Duration::from_secs(60);
+    mail.send(Message::Verdict(Verdict::Failed)).unwrap();
+    assert!(matches!(out.message(&messages), Some(Message::Verdict(Verdict::Failed))));
+}
+
+#[test]
+fn an_attempt_whose_time_is_over_before_it_went_out_is_never_sent() {
+    let mut out =
+        Out { sent: Vec::new(), waiting: VecDeque::from([order(1), order(2)]), settled: Instant::now() };
+    out.give_up(1);
+    assert_eq!(out.due().map(|order| order.attempt), Some(2));
+    assert!(out.due().is_none());
+}
+
+/// Of 384 descriptors 153 are for clients and 128 for stores, however two processes share them.
+#[rstest]
+#[case::alone(ConnectionCounts { clients: 0, stores: 0 }, 128, 0)]
+#[case::an_old_one_with_many_idle(ConnectionCounts { clients: 100, stores: 8 }, 50, 30)]
+#[case::an_old_one_that_waits_for_stores(ConnectionCounts { clients: 100, stores: 60 }, 50, 82)]
+#[case::a_small_one(ConnectionCounts { clients: 20, stores: 10 }, 30, 0)]
+fn two_processes_hold_no_more_than_one(
+    #[case] there: ConnectionCounts,
+    #[case] stores: usize,
+    #[case] taken: usize,
+) {
+    assert_eq!(there.over(stores, 128), taken);
+    assert!(153 - taken + there.clients + stores + there.stores <= 153 + 128);
+}
--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -197,7 +197,7 @@
     ) -> Option<IpAddr> {
         let (deadline_ms, most) =
             (snapshot.routes.deadline_ms, snapshot.limits.map_or(MOST_LOOKUPS, |limits| limits.lookups));
-        let _place = super::Place::take(&self.lookups, most)?;
+        let _permit = super::Permit::take(&self.lookups, most)?;
         let _open = self.service.taken();
         let request = Request {
             id: RequestId(self.ids.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::SeqCst)),
@@ -312,10 +312,10 @@
             may::coroutine::sleep(Duration::from_millis(10));
             continue;
         };
-        let Some(place) = super::Place::take(&held, MOST_CLIENTS) else { continue };
+        let Some(place) = super::Permit::take(&held, MOST_CLIENTS) else { continue };
         let front = front.clone();
         super::spawn(move || {
-            let _place = place;
+            let _permit = place;
             if let Err(e) = client(&front, &mut stream, from.ip()) {
                 log::debug!("name front: {from}: {e}");
             }
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -29,7 +29,7 @@
 const IDENTITIES_EVERY: u32 = 250;
 /// After SIGTERM requests keep coming for 0.6 s; all of 0.7 s is answered.
 const LINGER: Micros = 1_000_000;
-/// One that hands over accepts nothing any more, and may be about to seat what it accepted last.
+/// One that hands over accepts nothing any more, and may be about to register what it accepted last.
 const LINGER_HANDED_OVER: Micros = 100_000;
 /// How often the address of a front is tried that the other process still holds.
 const FREE_LOOK: Duration = Duration::from_millis(20);
@@ -198,7 +198,7 @@
             log::warn!("link: {e}; going on without it");
         }
         bus::follow(&feed, &core, bus);
-        let (serving, seated, followed) = (core.clone(), clients.clone(), feed.clone());
+        let (serving, connected, followed) = (core.clone(), clients.clone(), feed.clone());
         super::spawn(move || {
             // Where another process accepts already, there is no hurry: this one does once it is up to date.
             let began = Instant::now();
@@ -218,11 +218,11 @@
                     timed.watch();
                 }
                 if round.is_multiple_of(IDENTITIES_EVERY) {
-                    seated.end_identities(&timed.guard);
+                    connected.end_identities(&timed.guard);
                 }
                 if round.is_multiple_of(SWEEP_EVERY) {
                     timed.stores.sweep(timed.handed_over());
-                    seated.sweep(timed.leaving());
+                    connected.sweep(timed.draining());
                 }
             }
         });
@@ -265,7 +265,7 @@
                 let since = core.clock.now() - told;
                 let idle = core.open.load(Ordering::SeqCst) == 0;
                 let linger = if core.socket_shared { LINGER_HANDED_OVER } else { LINGER };
-                if since >= linger && idle && !(core.socket_shared && core.clients.seated() > 0) {
+                if since >= linger && idle && !(core.socket_shared && core.clients.connected() > 0) {
                     return;
                 }
             }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,6 +1,6 @@
 //! Clients: HTTP/1.1 in, one request at a time on a connection, and answers out.
 
-use super::clients::{At, Clients, IDLE, MOMENT, Sitting};
+use super::clients::{Clients, Connection, ConnectionState, IDLE, MOMENT};
 use super::service::{Final, Service, Work};
 use super::snapshot::Snapshot;
 use super::store::{End, Pull, Reply};
@@ -69,7 +69,7 @@
 
 /// What a client sent, whole.
 #[derive(Debug, PartialEq)]
-enum Asked {
+enum RequestKind {
     Live,
     Object(Box<Object>),
 }
@@ -89,8 +89,8 @@
 
 /// A request at the front of a buffer.
 #[derive(Debug, PartialEq)]
-struct Taken {
-    asked: Asked,
+struct ParsedRequest {
+    asked: RequestKind,
     keep_alive: bool,
     used: usize,
 }
@@ -98,7 +98,7 @@
 /// What is still missing.
 #[derive(Debug, PartialEq)]
 enum Parsed {
-    Whole(Taken),
+    Whole(ParsedRequest),
     /// More bytes are to come; the client may wait for a word before it sends its body.
     Partial {
         expects: bool,
@@ -229,7 +229,7 @@
     }
     let path = request.path.unwrap_or_default();
     if path == "/status/live" {
-        return Ok(Parsed::Whole(Taken { asked: Asked::Live, keep_alive, used }));
+        return Ok(Parsed::Whole(ParsedRequest { asked: RequestKind::Live, keep_alive, used }));
     }
     object.write = match request.method {
         Some("GET") if length > 0 => return Err(Bad(400, "a GET with a body")),
@@ -245,7 +245,7 @@
     object.pull.object = name.into();
     object.pull.part = part.map(|part| part.to_string());
     object.pull.body = buffer[head..used].to_vec();
-    Ok(Parsed::Whole(Taken { asked: Asked::Object(Box::new(object)), keep_alive, used }))
+    Ok(Parsed::Whole(ParsedRequest { asked: RequestKind::Object(Box::new(object)), keep_alive, used }))
 }
 
 fn reason(status: u16) -> &'static str {
@@ -294,8 +294,8 @@
 }
 
 /// Writes an answer.
-fn write(sitting: &Sitting, answer: &Answer, close: bool) -> io::Result<()> {
-    sitting.send([answer.head(close).as_bytes(), &answer.body])
+fn write(connection: &Connection, answer: &Answer, close: bool) -> io::Result<()> {
+    connection.send([answer.head(close).as_bytes(), &answer.body])
 }
 
 fn refusal(backoff: Option<Micros>) -> Answer {
@@ -354,12 +354,14 @@
                 }
             };
             match terms {
-                None => super::spawn(move || ended(client(&service, &table.sit(stream, None, At::Asking)))),
+                None => super::spawn(move || {
+                    ended(client(&service, &table.register(stream, None, ConnectionState::Asking)))
+                }),
                 Some(terms) => {
                     super::spawn_tls(move || ended(secure_client(&service, &table, stream, &terms)));
                 }
             }
-            if clients.seated() + 1 >= clients.most() {
+            if clients.connected() + 1 >= clients.most() {
                 // The one that made way must get to give its descriptor back.
                 may::coroutine::sleep(MOMENT);
             }
@@ -373,11 +375,12 @@
         if terms.is_some() {
             continue;
         }
-        let Some(place) = super::Place::take(&clients.lobby, clients.lobby_most) else { continue };
+        let Some(place) = super::Permit::take(&clients.refusing, clients.most_refusing) else { continue };
         super::spawn(move || {
-            let _place = place;
-            let sitting = table.sit(stream, None, At::Writing);
-            let _ = write(&sitting, &refusal(None), true).and_then(|()| sitting.end(&mut [0; 4 * 1024]));
+            let _permit = place;
+            let connection = table.register(stream, None, ConnectionState::Writing);
+            let _ =
+                write(&connection, &refusal(None), true).and_then(|()| connection.end(&mut [0; 4 * 1024]));
         });
     }
 }
@@ -391,9 +394,9 @@
 ) -> io::Result<()> {
     let began = Instant::now();
     let secure = Arc::new(Secure::new(terms)?);
-    let sitting = table.sit(stream, Some(secure.clone()), At::Shaking(terms.within));
-    sitting.stream.set_nodelay(true)?;
-    let shaken = secure.handshake(&sitting.stream);
+    let connection = table.register(stream, Some(secure.clone()), ConnectionState::Shaking(terms.within));
+    connection.stream.set_nodelay(true)?;
+    let shaken = secure.handshake(&connection.stream);
     let outcome = match &shaken {
         Ok(()) => "done",
         Err(e) if e.kind() == io::ErrorKind::UnexpectedEof && began.elapsed() >= terms.within => "too_slow",
@@ -402,30 +405,30 @@
     };
     service.guard().metrics.handshake(outcome, began.elapsed());
     shaken?;
-    sitting.is_at(At::Asking);
-    client(service, &sitting)
+    connection.set_state(ConnectionState::Asking);
+    client(service, &connection)
 }
 
-fn client(service: &Arc<dyn Service>, sitting: &Sitting) -> io::Result<()> {
-    sitting.stream.set_nodelay(true)?;
+fn client(service: &Arc<dyn Service>, connection: &Connection) -> io::Result<()> {
+    connection.stream.set_nodelay(true)?;
     let (mut buffer, mut piece, mut continued) = (Vec::new(), [0; 4 * 1024], false);
     loop {
         match parse(&buffer) {
             Ok(Parsed::Partial { expects }) => {
                 if expects && !std::mem::replace(&mut continued, true) {
-                    sitting.send([b"HTTP/1.1 100 Continue\r\n\r\n", &[]])?;
-                    sitting.is_at(At::Asking);
+                    connection.send([b"HTTP/1.1 100 Continue\r\n\r\n", &[]])?;
+                    connection.set_state(ConnectionState::Asking);
                 }
-                let read = sitting.read(&mut piece)?;
+                let read = connection.read(&mut piece)?;
                 if read == 0 {
                     if !buffer.is_empty() {
-                        write(sitting, &Answer::new(408, Vec::new()), true)?;
-                        sitting.end(&mut piece)?;
+                        write(connection, &Answer::new(408, Vec::new()), true)?;
+                        connection.end(&mut piece)?;
                     }
                     return Ok(());
                 }
                 if buffer.is_empty() {
-                    sitting.is_at(At::Asking);
+                    connection.set_state(ConnectionState::Asking);
                 }
                 buffer.extend_from_slice(&piece[..read]);
             }
@@ -433,47 +436,51 @@
                 buffer.drain(..taken.used);
                 continued = false;
                 let _open = service.taken();
-                sitting.is_at(At::Open);
-                let Some(answer) = respond(service, sitting, taken.asked) else { return Ok(()) };
+                connection.set_state(ConnectionState::Open);
+                let Some(answer) = respond(service, connection, taken.asked) else { return Ok(()) };
                 // Asked only now: the gateway may have begun to send its clients away meanwhile, and a
                 // certificate may have come near its end.
-                let ends = || sitting.presented().is_some_and(|shown| service.guard().ends_soon(shown));
-                let close = !taken.keep_alive || service.leaving().is_some() || ends();
-                write(sitting, &answer, close)?;
+                let ends = || connection.presented().is_some_and(|shown| service.guard().ends_soon(shown));
+                let close = !taken.keep_alive || service.draining().is_some() || ends();
+                write(connection, &answer, close)?;
                 if close {
-                    return sitting.end(&mut piece);
+                    return connection.end(&mut piece);
                 }
-                sitting.is_at(if buffer.is_empty() { At::Idle } else { At::Asking });
+                connection.set_state(if buffer.is_empty() {
+                    ConnectionState::Idle
+                } else {
+                    ConnectionState::Asking
+                });
             }
             Err(bad) => {
-                write(sitting, &bad.answer(), true)?;
-                return sitting.end(&mut piece);
+                write(connection, &bad.answer(), true)?;
+                return connection.end(&mut piece);
             }
         }
     }
 }
 
 /// The answer to a request. `None`: the client has left.
-fn respond(service: &Arc<dyn Service>, sitting: &Sitting, asked: Asked) -> Option<Answer> {
+fn respond(service: &Arc<dyn Service>, connection: &Connection, asked: RequestKind) -> Option<Answer> {
     let object = match asked {
         // The front asks here whether it may send clients on.
-        Asked::Live if service.drained() => {
+        RequestKind::Live if service.drained() => {
             return Some(Answer::new(503, b"drained\n".into()));
         }
-        Asked::Live => return Some(Answer::new(200, b"live\n".into())),
-        Asked::Object(object) => *object,
+        RequestKind::Live => return Some(Answer::new(200, b"live\n".into())),
+        RequestKind::Object(object) => *object,
     };
     // Before anything is told of what there is.
     let method = if object.write { "PUT" } else { "GET" };
     let bearer = object.bearer.as_ref().map(Secret::told);
-    let unreadable = || sitting.secure.as_ref().is_some_and(|secure| secure.unreadable());
+    let unreadable = || connection.secure.as_ref().is_some_and(|secure| secure.unreadable());
     let shown = match bearer {
         None if unreadable() => return Some(turned_away(Reason::CertificateUntrusted)),
-        bearer => Credentials { bearer, certificate: sitting.presented() },
+        bearer => Credentials { bearer, certificate: connection.presented() },
     };
     let (snapshot, admitted) = service.guard().admit(shown, &object.pull.class, method, &object.pull.object);
     let mut answer = match admitted {
-        Ok(caller) => carried(service, sitting, object, &snapshot, &caller)?,
+        Ok(caller) => carried(service, connection, object, &snapshot, &caller)?,
         Err(reason) => turned_away(reason),
     };
     service.guard().count(answer.status >= 400);
@@ -486,7 +493,7 @@
 /// The answer to a request whose caller may ask for it. `None`: the client has left.
 fn carried(
     service: &Arc<dyn Service>,
-    sitting: &Sitting,
+    connection: &Connection,
     object: Object,
     snapshot: &Snapshot,
     caller: &Arc<Caller>,
@@ -505,7 +512,7 @@
     }
     service.used(object.id);
     // An id that is open is the broker's to turn away; here it may just have been answered.
-    if sitting.clients.was_answered(object.id) {
+    if connection.clients.was_answered(object.id) {
         return Some(Answer::new(409, b"Req-Id has been used\n".into()));
     }
     let request = Request {
@@ -519,12 +526,12 @@
         purge_group: object.group,
         by_name: false,
     };
-    let end = service.carry(request, caller, &Work::Pull(object.pull), Some(sitting));
+    let end = service.carry(request, caller, &Work::Pull(object.pull), Some(connection));
     if service.guard().is_on() {
         told(&**service, caller, object.id, &end);
     }
     if !matches!(end, Final::Gone) {
-        sitting.clients.answered(object.id);
+        connection.clients.answered(object.id);
     }
     Some(match end {
         Final::Served(reply) => served(reply),
@@ -548,98 +555,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use rstest::rstest;
-
-    const GET: &str = "GET /svc/segment/7f3a/block-3 HTTP/1.1\r\nHost: x\r\nReq-Id: 9b1f03aa5c7e2d41\r\nReq-Wait-Ms: 1500\r\n";
-
-    #[test]
-    fn a_request_is_taken_only_once_it_is_whole() {
-        let text = GET.replace("GET", "PUT")
-            + "X-Family: 17\r\nReq-Kb: 412.5\r\nReq-Token: t1\r\nIf-None-Match: \"4be\"\r\nauthorization: bearer  a.b.c\r\nContent-Length: 3\r\n\r\na\nb";
-        for cut in 0..text.len() {
-            assert!(matches!(parse(&text.as_bytes()[..cut]), Ok(Parsed::Partial { .. })), "cut at {cut}");
-        }
-        let Ok(Parsed::Whole(taken)) = parse((text.clone() + "GET").as_bytes()) else { panic!() };
-        assert_eq!((taken.used, taken.keep_alive), (text.len(), true));
-        let some = |text: &str| Some(text.to_string());
-        let pull = Pull {
-            class: "segment".into(),
-            object: "7f3a".into(),
-            part: some("3"),
-            token: some("t1"),
-            have: some("4be"),
-            body: b"a\nb".to_vec(),
-        };
-        let object = Object {
-            id: 0x9b1f_03aa_5c7e_2d41,
-            wait: 1_500_000,
-            group: Some(17),
-            size_kb: 412.5,
-            part: 3,
-            write: true,
-            bearer: Some(Secret("a.b.c".into())),
-            pull,
-        };
-        assert_eq!(taken.asked, Asked::Object(Box::new(object)));
-    }
-
-    #[rstest]
-    #[case::no_http("hello\r\n\r\n", 400)]
-    #[case::short_id(&GET.replace("9b1f03aa5c7e2d41", "9b1f"), 400)]
-    #[case::signed_id(&GET.replace("9b1f03aa5c7e2d41", "+b1f03aa5c7e2d41"), 400)]
-    #[case::no_wait(&GET.replace("Req-Wait-Ms", "Other"), 400)]
-    #[case::endless_wait(&GET.replace("1500", "inf"), 400)]
-    #[case::negative_wait(&GET.replace("1500", "-1"), 400)]
-    #[case::other_path(&GET.replace("/svc/", "/x/"), 404)]
-    #[case::no_part_number(&GET.replace("block-3", "block-x"), 404)]
-    #[case::a_comma_would_forge_a_field(&GET.replace("7f3a", "7f,src=s-1"), 404)]
-    #[case::method(&GET.replace("GET", "POST"), 405)]
-    #[case::chunked(&(GET.to_string() + "Transfer-Encoding: chunked\r\n"), 411)]
-    #[case::large_body(&(GET.to_string() + "Content-Length: 48001\r\n"), 413)]
-    #[case::large_head(&(GET.to_string() + "A: " + &"a".repeat(9000)), 431)]
-    #[case::both_lengths(&(GET.to_string() + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"), 400)]
-    #[case::two_lengths(&(GET.to_string() + "Content-Length: 3\r\nContent-Length: 0\r\n"), 400)]
-    #[case::signed_length(&(GET.to_string() + "Content-Length: +5\r\n"), 400)]
-    #[case::negative_length(&(GET.to_string() + "Content-Length: -5\r\n"), 400)]
-    #[case::huge_length(&(GET.to_string() + "Content-Length: 99999999999999999999999\r\n"), 413)]
-    #[case::get_with_a_body(&(GET.to_string() + "Content-Length: 2\r\n\r\n"), 400)]
-    #[case::two_ids(&(GET.to_string() + "Req-Id: 9b1f03aa5c7e2d42\r\n"), 400)]
-    #[case::signed_wait(&GET.replace("1500", "+1500"), 400)]
-    #[case::exponent(&GET.replace("1500", "1e3"), 400)]
-    #[case::signed_part(&GET.replace("block-3", "block-+3"), 404)]
-    #[case::large_part(&GET.replace("block-3", "block-4294967296"), 404)]
-    #[case::no_group(&(GET.to_string() + "X-Family: 256\r\n"), 400)]
-    #[case::signed_group(&(GET.to_string() + "X-Family: +1\r\n"), 400)]
-    #[case::endless_size(&(GET.to_string() + "Req-Kb: 1e300\r\n"), 400)]
-    #[case::an_equals_sign_would_forge_a_value(&GET.replace("7f3a", "7f=1"), 404)]
-    #[case::token_with_comma(&(GET.to_string() + "Req-Token: a,b\r\n"), 400)]
-    fn bad_requests_are_told_why(#[case] text: &str, #[case] status: u16) {
-        let Err(Bad(got, _)) = parse((text.to_string() + "\r\n").as_bytes()) else { panic!("taken") };
-        assert_eq!(got, status);
-    }
-
-    #[rstest]
-    #[case::other_scheme("Authorization: Basic YTpi\r\n")]
-    #[case::no_scheme("Authorization: a.b.c\r\n")]
-    #[case::twice("Authorization: Bearer a.b.c\r\nAuthorization: Bearer a.b.c\r\n")]
-    fn what_is_no_single_token_is_nothing_that_could_be_taken_for_one(#[case] fields: &str) {
-        let text = GET.to_string() + fields + "\r\n";
-        let Ok(Parsed::Whole(Taken { asked: Asked::Object(object), .. })) = parse(text.as_bytes()) else {
-            panic!("not taken")
-        };
-        assert_eq!(object.bearer.as_ref().map(Secret::told), Some(""));
-        assert!(!format!("{object:?}").contains("a.b.c"));
-    }
-
-    #[rstest]
-    #[case(None, "1")]
-    #[case(Some(200_000), "1")]
-    #[case(Some(1_200_000), "2")]
-    fn a_refusal_tells_when_to_come_back(#[case] backoff: Option<Micros>, #[case] seconds: &str) {
-        let text = refusal(backoff).head(false);
-        assert!(text.starts_with("HTTP/1.1 503 "));
-        assert!(text.contains(&format!("Retry-After: {seconds}\r\n")));
-    }
-}
+mod tests;
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -4,7 +4,7 @@
 //! The new process calls the old one and is told what that has learned and which ids it has open or answered.
 //! From then on both tell each other their new ids and what they hold, until one of them is gone.
 
-use super::core::{Core, Held};
+use super::core::{ConnectionCounts, Core};
 use super::handover::file_in;
 use super::lock;
 use crate::Learned;
@@ -44,7 +44,7 @@
 /// What each tells the other all the time.
 #[derive(Default, Serialize, Deserialize)]
 struct Status {
-    held: Held,
+    held: ConnectionCounts,
     used: Vec<u64>,
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -57,18 +57,18 @@
 }
 
 /// A place in a bounded table, free again when it is dropped, also by a panic.
-pub struct Place(Arc<AtomicUsize>);
+pub struct Permit(Arc<AtomicUsize>);
 
-impl Place {
+impl Permit {
     /// `None`: the table is full.
-    fn take(held: &Arc<AtomicUsize>, most: usize) -> Option<Place> {
+    fn take(held: &Arc<AtomicUsize>, most: usize) -> Option<Permit> {
         let taken =
             held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, |now| (now < most).then_some(now + 1));
-        taken.ok().map(|_| Place(held.clone()))
+        taken.ok().map(|_| Permit(held.clone()))
     }
 }
 
-impl Drop for Place {
+impl Drop for Permit {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
--- a/src/net/service.rs
+++ b/src/net/service.rs
@@ -1,7 +1,7 @@
 //! What a front may ask of the gateway, whatever stands behind it: take a request through the core, and know under
 //! which version it came.
 
-use super::Place;
+use super::Permit;
 use super::identity::Guard;
 use super::snapshot::Snapshot;
 use super::store::{Pull, Reply};
@@ -52,7 +52,7 @@
 /// idle, and those without a whole request, are closed. Until then each answer closes its connection, and so
 /// no request crosses with a close that need not.
 #[derive(Clone, Copy, Debug)]
-pub struct Leaving {
+pub struct ConnectionDraining {
     pub since: Duration,
     pub idle: Duration,
     pub asking: Duration,
@@ -76,7 +76,7 @@
     ) -> Final;
 
     /// Counts a request as open until what is returned is dropped.
-    fn taken(&self) -> Option<Place>;
+    fn taken(&self) -> Option<Permit>;
 
     /// An id has come into use: the other process of this gateway is to know.
     fn used(&self, id: u64);
@@ -85,7 +85,7 @@
     fn time_left(&self) -> Micros;
 
     /// Whether clients are being sent away.
-    fn leaving(&self) -> Option<Leaving>;
+    fn draining(&self) -> Option<ConnectionDraining>;
 
     /// Whether the gateway is being emptied.
     fn drained(&self) -> bool;
--- /dev/null
+++ b/src/net/store/tests.rs
@@ -0,0 +1,108 @@
+use super::*;
+use rstest::rstest;
+
+#[rstest]
+#[case::hit("a1 ok res=TCP_HIT,etag=4be,made=17,ttfb=0 3\r\nx\ny\r\n", End::Ok(b"x\ny".to_vec()), Detail::Hit)]
+#[case::root("a1 ok res=TCP_MISS_ROOT 0\r\n\r\n", End::Ok(vec![]), Detail::FilledByOrigin)]
+#[case::current("a1 current etag=4be 0\r\n\r\n", End::Current, Detail::Untold)]
+#[case::miss("a1 nothing res=PEER_MISS 0\r\n\r\n", End::Nothing, Detail::SourceLacks)]
+#[case::new_note("a1 refused res=LATER 0\r\n\r\n", End::Refused, Detail::Untold)]
+#[case::stale("a1 stale - 0\r\n\r\n", End::Stale, Detail::Untold)]
+#[case::check("a1 yes gauges=inflight:7;util:0.5 0\r\n\r\n", End::Yes, Detail::Untold)]
+fn answers_come_in_any_pieces(#[case] text: &str, #[case] end: End, #[case] detail: Detail) {
+    for size in 1..=text.len() {
+        let (mut answers, mut done) = (Answers::default(), Vec::new());
+        text.as_bytes().chunks(size).for_each(|piece| answers.take(piece, &mut done).unwrap());
+        let [(0xa1, reply)] = &done[..] else { panic!("{done:?}") };
+        assert_eq!((&reply.end, reply.detail), (&end, detail));
+    }
+}
+
+#[rstest]
+#[case::no_number("zz ok - 0\r\n")]
+#[case::unknown_word("a1 fine - 0\r\n")]
+#[case::too_large("a1 ok - 240001\r\n")]
+#[case::minus("a1 ok - -1\r\n")]
+#[case::missing_word("a1 ok 0\r\n")]
+#[case::bare_line_feed("a1 ok - 0\n")]
+#[case::torn_field("a1 ok res 0\r\n")]
+#[case::longer_than_told("a1 ok - 1\r\nxyz")]
+#[case::not_text("a1 \u{7f}\u{0} - 0\r\n")]
+fn bad_lines_are_errors(#[case] text: &str) {
+    assert!(Answers::default().take(text.as_bytes(), &mut Vec::new()).is_err());
+}
+
+#[test]
+fn a_line_without_end_is_bounded() {
+    assert!(Answers::default().take(&[b'a'; LONGEST_LINE + 1], &mut Vec::new()).is_err());
+}
+
+fn order(member: u32, fill: Option<Fill>) -> Order {
+    let (request, member) = (RequestId(0x9b), MemberId(member));
+    let caller = sagearch_identity::Caller::anonymous();
+    Order { request, attempt: 0, member, timeout: 1_500_900, fill, picked: 0, caller }
+}
+
+#[rstest]
+#[case::straight(None, "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,have=e 2\r\nhi\r\n")]
+#[case::filled(
+    Some(Fill { source: Some(MemberId(2)), keep: 3, max_age: Some(1_999), join: true, renew: true, held_only: false }),
+    "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,src=n2,keep=3,maxage=1,flags=ride+update,have=e 2\r\nhi\r\n"
+)]
+#[case::own_source(
+    Some(Fill { source: Some(MemberId(1)), held_only: true, ..Fill::default() }),
+    "PULL 000000000000009b kind=k,obj=o,seg=3,ms=1500,token=t,flags=have-only,have=e 2\r\nhi\r\n"
+)]
+fn an_order_becomes_one_line_and_the_body(#[case] fill: Option<Fill>, #[case] line: &str) {
+    let text = |text: &str| Some(text.to_string());
+    let pull = Pull {
+        class: "k".into(),
+        object: "o".into(),
+        part: text("3"),
+        token: text("t"),
+        have: text("e"),
+        body: b"hi".to_vec(),
+    };
+    let bytes = pull.bytes(&order(1, fill), |id| Some(format!("n{}", id.0)));
+    assert_eq!(String::from_utf8(bytes).unwrap(), line);
+}
+
+/// From afar a KILL takes longer: the next attempt waits as long as the connection took to come up.
+#[rstest]
+#[case::near(1, 10)]
+#[case::afar(73, 73)]
+#[case::syn_lost(1_000, 100)]
+fn the_next_attempt_waits_for_the_way_of_the_kill(#[case] way: u64, #[case] settles: u64) {
+    #[derive(Clone)]
+    struct Nobody;
+    impl Answered for Nobody {
+        fn reply(&self, _: u32, _: Reply) {}
+    }
+    let now = Instant::now();
+    let state = ConnState::<Nobody> {
+        pending: HashMap::new(),
+        ended: VecDeque::new(),
+        retired: false,
+        used: now,
+        heard: now,
+        midway: false,
+        way: Duration::from_millis(way),
+        stream: None,
+    };
+    let conn = Arc::new(Conn { queue: mpsc::channel().0, state: Mutex::new(state) });
+    let ticket = Ticket { conn: Some(conn), id: 1, sent: now };
+    assert_eq!(ticket.settles(), Duration::from_millis(settles));
+}
+
+#[rstest]
+#[case(End::Unreachable, true)]
+#[case(End::Nothing, true)]
+#[case(End::Refused, true)]
+#[case(End::Stale, true)]
+#[case(End::NotSent, true)]
+#[case(End::Error, false)]
+#[case(End::Reset, false)]
+fn outcomes_map_by_proof(#[case] end: End, #[case] never_ran: bool) {
+    use Outcome::*;
+    assert_eq!(matches!(end.outcome(), Full | Unreachable | NotSent | Miss), never_ran);
+}
