A burst of connections is entered in the table as it is accepted, and finds no more room

In the test, the requests' first attempt now has all of their time: given up sooner on a busy machine, one would be idle before the last had come. Mend: entered before the coroutine is started, and taken out if it can't be.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -284,18 +284,36 @@
         }
     }
 
-    pub(super) fn register(
+    /// Enters a connection in the table, to be served as [`Clients::connection`]. As it is accepted: entered only by its
+    /// coroutine, a burst would find room for all of itself.
+    pub(super) fn enter(&self, stream: Arc<TcpStream>, at: ConnectionState) -> u64 {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let entry = Entry { stream, secure: None, at, since: Instant::now() };
+        lock(&self.entries).insert(number, entry);
+        number
+    }
+
+    /// Takes a connection out that could not be served.
+    pub(super) fn leave(&self, number: u64) {
+        lock(&self.entries).remove(&number);
+    }
+
+    pub(super) fn connection(
         &self,
+        number: u64,
         stream: Arc<TcpStream>,
         secure: Option<Arc<Secure>>,
-        at: ConnectionState,
     ) -> Connection<'_> {
-        let number = self.next.fetch_add(1, Ordering::Relaxed);
-        let entry = Entry { stream: stream.clone(), secure: secure.clone(), at, since: Instant::now() };
-        lock(&self.entries).insert(number, entry);
+        if let Some(entry) = lock(&self.entries).get_mut(&number) {
+            entry.secure = secure.clone();
+        }
         Connection { clients: self, number, stream, secure, ahead: RefCell::default() }
     }
 
+    pub(super) fn register(&self, stream: Arc<TcpStream>, at: ConnectionState) -> Connection<'_> {
+        self.connection(self.enter(stream.clone(), at), stream, None)
+    }
+
     /// How many clients are connected.
     pub fn connected(&self) -> usize {
         lock(&self.entries).len()
--- a/src/net/clients/tests.rs
+++ b/src/net/clients/tests.rs
@@ -55,7 +55,7 @@
 ) {
     let clients = clients();
     let (near, mut far) = pair();
-    let connection = clients.register(near, None, at);
+    let connection = clients.register(near, at);
     aged(&connection, at);
     if before {
         far.write_all(b"GET").unwrap();
@@ -79,7 +79,7 @@
 fn who_makes_way(#[case] stays: ConnectionState, #[case] goes: ConnectionState, #[case] both_stay: bool) {
     let clients = Clients::new(2, 1);
     let [(one, _far_one), (two, _far_two)] = [pair(), pair()];
-    let (one, two) = (clients.register(one, None, stays), clients.register(two, None, goes));
+    let (one, two) = (clients.register(one, stays), clients.register(two, goes));
     aged(&one, stays);
     aged(&two, goes);
     assert_eq!(clients.room(None), !both_stay);
@@ -97,9 +97,9 @@
 fn the_process_stays_for_what_is_owed(#[case] at: ConnectionState, #[case] owed: usize) {
     let clients = clients();
     let (near, _far) = pair();
-    aged(&clients.register(near.clone(), None, at), at);
+    aged(&clients.register(near.clone(), at), at);
     assert_eq!(clients.shut_idle(), 0, "gone");
-    let connection = clients.register(near, None, at);
+    let connection = clients.register(near, at);
     aged(&connection, at);
     assert_eq!(clients.shut_idle(), owed);
 }
@@ -108,7 +108,7 @@
 fn the_process_stays_until_a_shut_has_been_seen() {
     let clients = clients();
     let (near, _far) = pair();
-    let connection = clients.register(near, None, ConnectionState::Idle);
+    let connection = clients.register(near, ConnectionState::Idle);
     assert_eq!(clients.shut_idle(), 1);
     aged(&connection, ConnectionState::Shut);
     assert_eq!(clients.shut_idle(), 0);
@@ -122,7 +122,7 @@
 fn a_client_that_sends_on_and_goes_is_seen_to_have_gone(#[case] bytes: usize, #[case] usable: bool) {
     let clients = clients();
     let (near, mut far) = pair();
-    let connection = clients.register(near, None, ConnectionState::Open);
+    let connection = clients.register(near, ConnectionState::Open);
     assert!(connection.still_there());
     let sending = std::thread::spawn(move || far.write_all(&vec![b'x'; bytes]).unwrap());
     let began = Instant::now();
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -358,15 +358,22 @@
                     log::debug!("client: {e}");
                 }
             };
+            let at =
+                terms.as_ref().map_or(ConnectionState::New, |terms| ConnectionState::Shaking(terms.within));
+            let number = clients.enter(stream.clone(), at);
+            let entered = clients.clone();
+            let left = super::Defer(move || entered.leave(number));
             match terms {
                 None => super::spawn(move || {
-                    ended(client(&service, &table.register(stream, None, ConnectionState::New)))
+                    let _left = left;
+                    ended(client(&service, &table.connection(number, stream, None)));
+                }),
+                Some(terms) => super::spawn_tls(move || {
+                    let _left = left;
+                    ended(secure_client(&service, &table, number, stream, &terms));
                 }),
-                Some(terms) => {
-                    super::spawn_tls(move || ended(secure_client(&service, &table, stream, &terms)));
-                }
             }
-            if clients.connected() + 1 >= clients.most() {
+            if clients.connected() >= clients.most() {
                 // The one that made way must get to give its descriptor back.
                 may::coroutine::sleep(MOMENT);
             }
@@ -383,7 +390,7 @@
         let Some(place) = super::Permit::take(&clients.refusing, clients.most_refusing) else { continue };
         super::spawn(move || {
             let _permit = place;
-            let connection = table.register(stream, None, ConnectionState::Writing);
+            let connection = table.register(stream, ConnectionState::Writing);
             let _ = connection.stream.set_nodelay(true);
             let _ =
                 write(&connection, &refusal(None), true).and_then(|()| connection.end(&mut [0; 4 * 1024]));
@@ -395,12 +402,14 @@
 fn secure_client(
     service: &Arc<dyn Service>,
     table: &Clients,
+    number: u64,
     stream: Arc<TcpStream>,
     terms: &Terms,
 ) -> io::Result<()> {
     let began = Instant::now();
-    let secure = Arc::new(Secure::new(terms)?);
-    let connection = table.register(stream, Some(secure.clone()), ConnectionState::Shaking(terms.within));
+    let secure = Secure::new(terms).map(Arc::new);
+    let connection = table.connection(number, stream, secure.as_ref().ok().cloned());
+    let secure = secure?;
     connection.stream.set_nodelay(true)?;
     let shaken = secure.handshake(&connection.stream);
     let outcome = match &shaken {
--- a/tests/rare_moments.rs
+++ b/tests/rare_moments.rs
@@ -617,6 +617,27 @@
     assert!(ends_within(program, Duration::from_secs(4)));
 }
 
+/// Connections that wait all come in one instant: no more are taken than there are places, whether or not their coroutines
+/// have run.
+#[test]
+fn a_burst_of_connections_finds_no_more_room_than_there_is() {
+    let bus = Bus::default();
+    let cache = Store::new(1, |_, _| ok(b"x"));
+    bus.list(&[cache.cache()]);
+    let program = Program::start_where(&bus, program(), |config| config["limits"]["sockets"] = json!(64));
+    wait_for("it listens", || TcpStream::connect(program.at).is_ok());
+    program.paused(true);
+    let _burst: Vec<TcpStream> = (0..100).map(|_| TcpStream::connect(program.at).unwrap()).collect();
+    program.paused(false);
+    let since = Instant::now();
+    let mut most = 0;
+    while since.elapsed() < Duration::from_millis(500) {
+        most = most.max(std::fs::read_dir(format!("/proc/{}/fd", program.id())).unwrap().count());
+    }
+    assert!(most < 64, "{most} descriptors of 64");
+    assert_eq!(answered(program.at, 1), Some(200));
+}
+
 /// What a client may state of its wait: answered in time, or told that it can't be used, and never held.
 #[rstest]
 #[case::nothing_left("Req-Wait-Ms: 0\r\n", 503)]
--- a/tests/sockets.rs
+++ b/tests/sockets.rs
@@ -310,7 +310,9 @@
     let silent: Vec<TcpStream> = (0..places).map(|_| TcpStream::connect(gateway.listen).unwrap()).collect();
     std::thread::sleep(Duration::from_millis(300));
     let waiting: Vec<TcpStream> = (0..places as u64)
-        .map(|id| send(gateway.listen, &request(&format!("video/slow{id}"), id, 1_500, "")))
+        // So large that the first attempt has all of the time: given up sooner, the first would be idle before the last
+        // has come on a busy machine, and make way.
+        .map(|id| send(gateway.listen, &request(&format!("video/slow{id}"), id, 4_000, "Req-Kb: 40000\r\n")))
         .collect();
     wait_for("the attempts", || cache.pulls() == places);
     let full = read_answer(&TcpStream::connect(gateway.listen).unwrap(), Instant::now()).unwrap();
