--- a/src/net/dns.rs
+++ b/src/net/dns.rs
@@ -357,44 +357,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use hickory_proto::op::Query;
-    use rstest::rstest;
-
-    fn object(object: &str, part: u32) -> Named {
-        Named::Object { class: 4, object: object.into(), part }
-    }
-
-    #[rstest]
-    #[case("7f3a.video.svc.test.", object("7f3a", 0))]
-    #[case("block-12.7F3a.VIDEO.Svc.Test.", object("7f3a", 12))]
-    #[case("video.svc.test.", Named::Branch)]
-    #[case("svc.test.", Named::Branch)]
-    #[case("7f3a.other.svc.test.", Named::Unknown)]
-    #[case("part-1.7f3a.video.svc.test.", Named::Unknown)]
-    #[case("a.block-1.7f3a.video.svc.test.", Named::Unknown)]
-    #[case("block-1.7f,src.video.svc.test.", Named::Unknown)]
-    #[case("7f3a.video.example.", Named::Elsewhere)]
-    #[case("test.", Named::Elsewhere)]
-    fn names_hold_class_object_and_part(#[case] name: &str, #[case] want: Named) {
-        let domain = Name::from_ascii("svc.test.").unwrap();
-        let class = |name: &str| (name == "video").then_some(4);
-        let labels = name.split_terminator('.').map(str::as_bytes);
-        assert_eq!(named(&Name::from_labels(labels).unwrap(), &domain, class), want);
-    }
-
-    #[test]
-    fn an_answer_too_large_for_its_way_says_so() {
-        let mut reply = Message::new();
-        let name = Name::from_ascii("a.video.svc.test.").unwrap();
-        reply.add_query(Query::query(name.clone(), RecordType::A));
-        for last in 0..60 {
-            reply.add_answer(Record::from_rdata(name.clone(), 0, RData::A(A::new(127, 0, 0, last))));
-        }
-        let small = Message::from_vec(&fit(&reply, PLAIN_SIZE).unwrap()).unwrap();
-        assert!(small.truncated() && small.answers().is_empty() && small.queries().len() == 1);
-        let whole = Message::from_vec(&fit(&reply, 65_535).unwrap()).unwrap();
-        assert!(!whole.truncated() && whole.answers().len() == 60);
-    }
-}
+mod tests;
