Shared state: a test holds the bytes of each kind of datagram

Gateways of two versions of the program speak to each other, and the types behind their datagrams are about to be renamed and moved. The test states the bytes of each kind as they are now.

--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -165,6 +165,30 @@
         assert_eq!(decode(7, &other), Err(Unread::OtherVersion));
     }
 
+    const SMALL: Claim = Claim { term: 3, region: Region(5), epoch: 6, incarnation: 8, handed_over: true };
+
+    /// Gateways of two versions of this program speak to each other: the bytes stay as long as `VERSION` does.
+    #[rstest]
+    #[case::alive(Body::Alive(vec![7, 8]), &[0, 2, 7, 8])]
+    #[case::ask_lease(Body::Lease(Leases::Ask { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
+    #[case::granted(Body::Lease(Leases::Granted { to: 9, round: 2, epoch: 6, slices: vec![Slice(4)] }), &[1, 1, 9, 2, 6, 1, 4])]
+    #[case::denied(Body::Lease(Leases::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
+    #[case::released(Body::Lease(Leases::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
+    #[case::fence(Body::Fence(Claims(vec![Told { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
+    #[case::claims(Body::Far { from: 9, incarnation: 10, handed_on: false, far: Far::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
+    #[case::want(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Want { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 } }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::lent(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Lent { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 } }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::ask(Body::Ask { budget: 1, ask: Ask { number: 2, want: 7 } }, &[4, 1, 2, 7])]
+    #[case::grant(Body::Grant {
+        budget: 1,
+        under: Under { slice: Slice(4), epoch: 6, claim: Some(SMALL) },
+        grant: Grant { to: 10, number: 2, amount: 7 },
+    }, &[5, 1, 4, 6, 1, 3, 5, 6, 8, 1, 10, 2, 7])]
+    fn the_bytes_of_a_version_stay(#[case] body: Body, #[case] bytes: &[u8]) {
+        let head = [VERSION, 7, 11];
+        assert_eq!(encode(7, 11, body).unwrap(), [&head, bytes].concat());
+    }
+
     #[test]
     fn any_bytes_are_read_or_not_and_never_a_panic() {
         let mut random = 1_u64;
