--- /dev/null
+++ b/src/net/shared/directory.rs
@@ -0,0 +1,93 @@
+//! The members of the fleet as operators state them: numbers, addresses, regions, and which of them this gateway is.
+
+use sagearch_homes::message::Sender;
+use sagearch_homes::{Member, Region};
+use sagearch_operators::fleet::Fleet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+struct Listed {
+    region: Region,
+    address: SocketAddr,
+}
+
+pub struct Directory {
+    own: Sender,
+    own_region: Region,
+    region_names: Vec<String>,
+    /// By member number.
+    members: Vec<Listed>,
+    by_address: HashMap<SocketAddr, Member>,
+}
+
+impl Directory {
+    pub fn new(fleet: &Fleet, own: Sender, own_region: Region) -> Directory {
+        let listed = |(region, member): (usize, &sagearch_operators::fleet::Member)| Listed {
+            region: Region(region as u8),
+            address: member.address,
+        };
+        let numbered = |(_, member): (usize, &sagearch_operators::fleet::Member)| {
+            (member.address, Member(member.number))
+        };
+        Directory {
+            own,
+            own_region,
+            region_names: fleet.regions.iter().map(|region| region.name.clone()).collect(),
+            members: fleet.members().map(listed).collect(),
+            by_address: fleet.members().map(numbered).collect(),
+        }
+    }
+
+    /// This gateway, in this process.
+    pub fn own(&self) -> Sender {
+        self.own
+    }
+
+    pub fn own_region(&self) -> Region {
+        self.own_region
+    }
+
+    pub fn member_at(&self, address: &SocketAddr) -> Option<Member> {
+        self.by_address.get(address).copied()
+    }
+
+    pub fn address_of(&self, member: Member) -> Option<SocketAddr> {
+        self.members.get(usize::from(member.0)).map(|listed| listed.address)
+    }
+
+    pub fn region_of(&self, member: Member) -> Option<Region> {
+        self.members.get(usize::from(member.0)).map(|listed| listed.region)
+    }
+
+    /// Whether a member belongs to this gateway's region.
+    pub fn is_neighbour(&self, member: Member) -> bool {
+        self.region_of(member) == Some(self.own_region)
+    }
+
+    /// The other members of this gateway's region.
+    pub fn neighbours(&self) -> impl Iterator<Item = Member> + '_ {
+        self.members_of(self.own_region).filter(|member| *member != self.own.member)
+    }
+
+    pub fn region_name(&self, region: Region) -> &str {
+        self.region_names.get(usize::from(region.0)).map_or("", String::as_str)
+    }
+
+    pub fn other_regions(&self) -> impl Iterator<Item = Region> + '_ {
+        let regions = (0..self.region_names.len()).map(|region| Region(region as u8));
+        regions.filter(|region| *region != self.own_region)
+    }
+
+    /// A member of another region to send to. Each gateway has one of its own, and `attempt` chooses the next one where
+    /// that does not answer. It forwards what is not its own.
+    pub fn contact(&self, region: Region, attempt: usize) -> Option<Member> {
+        let members: Vec<Member> = self.members_of(region).collect();
+        let at = (usize::from(self.own.member.0) + attempt) % members.len().max(1);
+        members.get(at).copied()
+    }
+
+    fn members_of(&self, region: Region) -> impl Iterator<Item = Member> + '_ {
+        let within = move |(_, listed): &(usize, &Listed)| listed.region == region;
+        self.members.iter().enumerate().filter(within).map(|(number, _)| Member(number as u16))
+    }
+}
--- /dev/null
+++ b/src/net/shared/homes.rs
@@ -0,0 +1,108 @@
+//! The table of homes: which slices this gateway holds, which claims stand, who is alive, and whom to speak to elsewhere.
+
+use super::alive::Alive;
+use crate::metrics::Counted;
+use sagearch_homes::holder::Holder;
+use sagearch_homes::{Claim, Epoch, Micros, Principals, Region, Slice};
+use std::collections::BTreeMap;
+
+/// How this gateway reaches another region.
+#[derive(Clone, Copy, Default)]
+pub struct Contact {
+    /// Whether the region was heard since it was last sent to.
+    pub heard: bool,
+    /// How many of its members have been tried in vain.
+    pub attempt: usize,
+}
+
+pub struct Homes {
+    pub holder: Holder,
+    pub principals: Principals,
+    pub alive: Alive,
+    /// By region.
+    pub contacts: Vec<Contact>,
+    pub majority: MajorityWatch,
+}
+
+impl Homes {
+    /// When something is due next; `None`: nothing is.
+    pub fn next(&self, now: Micros) -> Option<Micros> {
+        let claims = self.holder.held(now).next().map(|_| self.principals.next());
+        [self.alive.next(), self.holder.next(now), claims].into_iter().flatten().min()
+    }
+
+    /// Passes on who is alive, from the failure detector to the leases and to operators.
+    pub fn update_members(&mut self, counted: &Counted) {
+        let members = self.alive.members();
+        counted.members.set(members.len() as i64);
+        self.holder.alive(members);
+    }
+
+    /// The claims under which this gateway is principal of slices that it holds.
+    pub fn principal_claims(&self, now: Micros, held: &BTreeMap<Slice, Epoch>) -> BTreeMap<Slice, Claim> {
+        let principal = |(slice, epoch): (&Slice, &Epoch)| {
+            Some((*slice, self.principals.principal(now, *slice, Some(*epoch))?))
+        };
+        held.iter().filter_map(principal).collect()
+    }
+
+    /// Takes note that a region is heard.
+    pub fn heard(&mut self, region: Region) {
+        if let Some(contact) = self.contacts.get_mut(usize::from(region.0)) {
+            contact.heard = true;
+        }
+    }
+}
+
+/// Says when operators are to be told that no majority of the region's voters grants leases, and when one does again.
+#[derive(Default)]
+pub struct MajorityWatch {
+    missing_since: Option<Micros>,
+    reported: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MajorityChange {
+    Lost,
+    Regained,
+}
+
+impl MajorityWatch {
+    /// A majority that is missing is reported once, and only after `grace`.
+    pub fn update(&mut self, now: Micros, missing: bool, grace: Micros) -> Option<MajorityChange> {
+        if !missing {
+            self.missing_since = None;
+            return std::mem::take(&mut self.reported).then_some(MajorityChange::Regained);
+        }
+        let since = *self.missing_since.get_or_insert(now);
+        if self.reported || now < since + grace {
+            return None;
+        }
+        self.reported = true;
+        Some(MajorityChange::Lost)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_missing_majority_is_reported_once_after_the_grace_and_so_is_its_return() {
+        let mut watch = MajorityWatch::default();
+        assert_eq!(watch.update(10, true, 30), None);
+        assert_eq!(watch.update(39, true, 30), None);
+        assert_eq!(watch.update(40, true, 30), Some(MajorityChange::Lost));
+        assert_eq!(watch.update(90, true, 30), None);
+        assert_eq!(watch.update(91, false, 30), Some(MajorityChange::Regained));
+        assert_eq!(watch.update(92, false, 30), None);
+    }
+
+    #[test]
+    fn a_majority_that_is_back_within_the_grace_is_not_reported() {
+        let mut watch = MajorityWatch::default();
+        assert_eq!(watch.update(10, true, 30), None);
+        assert_eq!(watch.update(20, false, 30), None);
+        assert_eq!(watch.update(40, true, 30), None, "counted anew");
+    }
+}
--- /dev/null
+++ b/src/net/shared/periodic.rs
@@ -0,0 +1,97 @@
+//! What is due by time: probes, leases, claims, loans; and what is given back at the end.
+
+use super::homes::{Homes, MajorityChange};
+use super::outbox::Out;
+use super::wire::Body;
+use super::workers::Work;
+use super::{LOG_TARGET, Shared, lock};
+use sagearch_homes::message::{self, Leases};
+use sagearch_homes::{Epoch, Member, Micros, Slice};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+/// A missing majority is reported after as many promises.
+const MAJORITY_GRACE: u64 = 3;
+
+impl Shared {
+    pub(super) fn tick(&self) {
+        let now = self.clock.now();
+        let mut out = Out::new();
+        let mut homes = lock(&self.homes);
+        let mut alive = Vec::new();
+        homes.alive.tick(now, &mut alive);
+        homes.update_members(&self.counted);
+        let mut leases = message::Out::new();
+        let changes = homes.holder.tick(now, self.chance(), &mut leases);
+        let held: BTreeMap<Slice, Epoch> = homes.holder.held(now).collect();
+        self.counted.homes.set(held.len() as i64);
+        self.watch_majority(now, &mut homes, held.is_empty());
+        let (claims, claimed) = homes.principals.tick(now, &held);
+        self.tell_regions(&mut homes, claims, &mut out);
+        if !claimed.is_empty() {
+            self.publish(&homes);
+        }
+        let principal = homes.principal_claims(now, &held);
+        let attempts: Vec<usize> = homes.contacts.iter().map(|contact| contact.attempt).collect();
+        self.due.store(self.next(&homes), Ordering::SeqCst);
+        drop(homes);
+        out.extend(alive.into_iter().map(|(to, bytes)| (to, Body::Alive(bytes))));
+        out.extend(leases.into_iter().map(|(to, message)| (to, Body::Lease(message))));
+        self.borrow(now, &principal, &attempts, &mut out);
+        out.extend(self.note(now, changes, claimed));
+        self.send(out);
+    }
+
+    /// A side without a majority has no home: everyone is on what it has alone.
+    fn watch_majority(&self, now: Micros, homes: &mut Homes, none_held: bool) {
+        let missing = none_held && homes.holder.wanting(now) > 0;
+        match homes.majority.update(now, missing, MAJORITY_GRACE * self.rules.promise()) {
+            None => {}
+            Some(MajorityChange::Lost) => {
+                self.counted.change("without_majority", 1);
+                log::warn!(
+                    target: LOG_TARGET,
+                    "no majority of the region's voters is heard: this gateway is on what it has alone"
+                );
+            }
+            Some(MajorityChange::Regained) => {
+                log::info!(target: LOG_TARGET, "a majority of the region's voters grants leases again");
+            }
+        }
+    }
+
+    /// Publishes the fences to the one loop.
+    pub(super) fn publish(&self, homes: &Homes) {
+        self.floors.store(Arc::new(homes.principals.floors.clone()));
+    }
+
+    /// Gives back what it holds before the process ends: others need not wait for its leases to lapse.
+    pub fn end(&self) {
+        let _ = self.work.try_send(Work::Leave);
+    }
+
+    pub(super) fn leave(&self) {
+        let now = self.clock.now();
+        let mut homes = lock(&self.homes);
+        let mut alive = Vec::new();
+        homes.alive.leave(now, &mut alive);
+        let mut held: BTreeMap<Epoch, Vec<Slice>> = BTreeMap::new();
+        for (slice, epoch) in homes.holder.held(now) {
+            held.entry(epoch).or_default().push(slice);
+        }
+        let own = self.directory.own().member;
+        let voters: Vec<Member> = homes.holder.voters().into_iter().filter(|voter| *voter != own).collect();
+        homes.holder.retire();
+        drop(homes);
+        let mut out: Out = alive.into_iter().map(|(to, bytes)| (to, Body::Alive(bytes))).collect();
+        for (epoch, slices) in held {
+            for part in slices.chunks(message::SLICES) {
+                let released = Leases::Released { epoch, slices: part.to_vec() };
+                out.extend(voters.iter().map(|voter| (*voter, Body::Lease(released.clone()))));
+            }
+        }
+        self.send(out);
+        log::info!(target: LOG_TARGET, "what was held for the fleet is given back");
+    }
+}
--- /dev/null
+++ b/src/net/shared/record.rs
@@ -0,0 +1,116 @@
+//! What becomes of slices here: noted in the ledger, counted, and logged for operators.
+
+use super::outbox::Out;
+use super::wire::Body;
+use super::{LOG_TARGET, Shared, lock, shown};
+use sagearch_homes::claims::Change as Claimed;
+use sagearch_homes::holder::{Change, Why};
+use sagearch_homes::message::{Claims, Told};
+use sagearch_homes::{Claim, Micros, Slice};
+
+impl Shared {
+    /// Records what has changed. Returns what others are to be told of it.
+    pub(super) fn note(&self, now: Micros, changes: Vec<Change>, claims: Vec<Claimed>) -> Out {
+        self.note_leases(now, changes);
+        self.note_claims(now, claims)
+    }
+
+    pub(super) fn note_leases(&self, now: Micros, changes: Vec<Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        let at = self.clock.unix_us(now);
+        let (mut gained, mut moved, mut lapsed) = (0, 0, 0);
+        let mut ledger = lock(&self.ledger);
+        for change in changes {
+            match change {
+                Change::Gained(slice, epoch) => {
+                    gained += 1;
+                    log::debug!(target: LOG_TARGET, "gained slice={} epoch={epoch} at={at}", slice.0);
+                    let shelves = ledger.iter_mut().filter(|shelf| shelf.slice == slice);
+                    shelves.for_each(|shelf| shelf.open(epoch, now));
+                }
+                Change::Lost(slice, epoch, why) => {
+                    match why {
+                        Why::Moved => moved += 1,
+                        Why::Lapsed => lapsed += 1,
+                    }
+                    log::debug!(target: LOG_TARGET, "lost slice={} epoch={epoch} at={at}", slice.0);
+                    let shelves = ledger.iter_mut().filter(|shelf| shelf.slice == slice);
+                    shelves.for_each(|shelf| shelf.close());
+                }
+            }
+        }
+        drop(ledger);
+        for (count, what) in [(gained, "gained"), (moved, "moved"), (lapsed, "lapsed")] {
+            if count > 0 {
+                log::info!(target: LOG_TARGET, "homes: {count} {what}");
+                self.counted.change(what, count);
+            }
+        }
+    }
+
+    pub(super) fn note_claims(&self, now: Micros, changes: Vec<Claimed>) -> Out {
+        let mut out = Out::new();
+        let at = self.clock.unix_us(now);
+        let (mut claimed, mut left) = (0_u64, 0_u64);
+        for change in changes {
+            match change {
+                Claimed::Claimed(slice, claim) => {
+                    claimed += 1;
+                    log::debug!(target: LOG_TARGET, "claimed slice={} {} at={at}", slice.0, shown(&claim));
+                }
+                Claimed::Left(slice, claim) => {
+                    left += 1;
+                    log::debug!(target: LOG_TARGET, "left slice={} {} at={at}", slice.0, shown(&claim));
+                }
+                Claimed::Split { slice, lost, won } => self.note_split(at, slice, &lost, &won),
+                Claimed::Fenced { slice, lost, won } => {
+                    self.note_fenced(at, slice, &lost, &won);
+                    out.extend(self.fence_neighbours(slice, won));
+                }
+            }
+        }
+        if claimed + left > 0 {
+            log::info!(target: LOG_TARGET, "claims: {claimed} made, {left} left");
+            self.counted.change("claimed", claimed);
+        }
+        out
+    }
+
+    fn note_split(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+        self.counted.change("split", 1);
+        let [lost_by, won_by] = [lost, won].map(|claim| self.directory.region_name(claim.region));
+        log::warn!(
+            target: LOG_TARGET,
+            "split brain: {won_by:?} and {lost_by:?} both claim slice {}; {won_by:?} wins",
+            slice.0
+        );
+        log::debug!(
+            target: LOG_TARGET,
+            "split slice={} lost {} won {} at={at}",
+            slice.0,
+            shown(lost),
+            shown(won)
+        );
+    }
+
+    fn note_fenced(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+        self.counted.change("fenced", 1);
+        log::warn!(target: LOG_TARGET, "fenced: this gateway's claim on slice {} has lost", slice.0);
+        log::debug!(
+            target: LOG_TARGET,
+            "fenced slice={} lost {} won {} at={at}",
+            slice.0,
+            shown(lost),
+            shown(won)
+        );
+    }
+
+    /// All of the region who may hold something under a claim that has lost hear at once, and not when it ends.
+    fn fence_neighbours(&self, slice: Slice, won: Claim) -> Out {
+        let told = Told { slice, claim: won, age: Some(0) };
+        let fence = |member| (member, Body::Fence(Claims(vec![told])));
+        self.directory.neighbours().map(fence).collect()
+    }
+}
--- a/src/net/shared/spend.rs
+++ b/src/net/shared/spend.rs
@@ -22,7 +22,7 @@
     pub slice: Slice,
     pub purse: Purse<Under>,
     /// A full one loses the ask: it is asked again, as if the datagram were lost.
-    pub wanted: Sender<super::Work>,
+    pub wanted: Sender<super::workers::Work>,
     pub granted: Receiver<(Grant, Under)>,
     pub floors: Arc<ArcSwap<Floors>>,
     pub clock: Clock,
@@ -36,7 +36,8 @@
             self.purse.take(now, grant, under);
         }
         if let Some(ask) = self.purse.ask(now) {
-            let told = self.wanted.try_send(super::Work::Wanted(Wanted { budget: self.budget, ask }));
+            let told =
+                self.wanted.try_send(super::workers::Work::Wanted(Wanted { budget: self.budget, ask }));
             if told.is_err() {
                 self.counted.lost("asks_unheard");
             }
--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -48,21 +48,21 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Far {
     Claims(Claims),
-    /// A principal asks for a part of another region's rate. `issued`: all that its home has handed out.
-    Want {
-        budget: u8,
-        number: u32,
-        claim: Claim,
-        rate: Amount,
-        issued: Amount,
-    },
-    Lent {
-        budget: u8,
-        number: u32,
-        claim: Claim,
-        rate: Amount,
-        issued: Amount,
-    },
+    /// A principal asks for a part of another region's rate.
+    Want(Loan),
+    Lent(Loan),
+}
+
+/// A part of a region's rate: what is asked for, or what is lent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    pub budget: u8,
+    pub number: u32,
+    /// The borrower's.
+    pub claim: Claim,
+    pub rate: Amount,
+    /// All that the sender has handed out.
+    pub issued: Amount,
 }
 
 /// Under what an amount was handed out.
@@ -144,9 +144,9 @@
     #[case::denied(Body::Lease(Leases::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); DENIALS] }))]
     #[case::fence(Body::Fence(told()))]
     #[case::claims(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Claims(told()) })]
-    #[case::lent(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Lent {
+    #[case::lent(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Lent(Loan {
         budget: 9, number: u32::MAX, claim: CLAIM, rate: u64::MAX, issued: u64::MAX
-    } })]
+    }) })]
     #[case::grant(Body::Grant {
         budget: 9,
         under: Under { slice: LAST, epoch: 1 << 53, claim: Some(CLAIM) },
@@ -176,8 +176,8 @@
     #[case::released(Body::Lease(Leases::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
     #[case::fence(Body::Fence(Claims(vec![Told { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
     #[case::claims(Body::Far { from: 9, incarnation: 10, handed_on: false, far: Far::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
-    #[case::want(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Want { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 } }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
-    #[case::lent(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Lent { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 } }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::want(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Want(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::lent(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Lent(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
     #[case::ask(Body::Ask { budget: 1, ask: Ask { number: 2, want: 7 } }, &[4, 1, 2, 7])]
     #[case::grant(Body::Grant {
         budget: 1,
--- /dev/null
+++ b/src/net/shared/workers.rs
@@ -0,0 +1,116 @@
+//! The threads: one that reads datagrams, and a pool that works on them. The pool's first worker also does what is due.
+
+use super::spend::Wanted;
+use super::{LOG_TARGET, Shared, lock, wire};
+use crossbeam_channel::{Receiver, RecvTimeoutError, TrySendError};
+use sagearch_homes::Micros;
+use sagearch_homes::place::mix;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+const STACK: usize = 256 * 1024;
+/// A worker looks at least so often, should all else be silent.
+const LONGEST_REST: Duration = Duration::from_secs(60);
+/// Several in one moment are done in one go, and none can make it spin.
+const SHORTEST_REST: Micros = 1_000;
+/// Between tries to read from a socket that fails.
+const RETRY_READ: Duration = Duration::from_millis(100);
+
+/// What a worker is given.
+pub enum Work {
+    Datagram(SocketAddr, Vec<u8>),
+    Wanted(Wanted),
+    /// Something is due earlier than was thought.
+    Wake,
+    Leave,
+}
+
+/// Starts the reader and the pool.
+pub fn spawn(
+    shared: &Arc<Shared>,
+    socket: Arc<UdpSocket>,
+    taken: &Receiver<Work>,
+    workers: usize,
+) -> io::Result<()> {
+    let thread = |name: String| std::thread::Builder::new().name(name).stack_size(STACK);
+    let reading = shared.clone();
+    thread("shared-ear".into()).spawn(move || reading.listen(&socket))?;
+    for worker in 0..workers {
+        let (shared, taken) = (shared.clone(), taken.clone());
+        thread(format!("shared-{worker}")).spawn(move || shared.run(&taken, worker == 0))?;
+    }
+    Ok(())
+}
+
+impl Shared {
+    fn listen(&self, socket: &UdpSocket) {
+        let mut bytes = [0; wire::LONGEST + 1];
+        loop {
+            match socket.recv_from(&mut bytes) {
+                Ok((length, from)) => {
+                    self.counted.bytes("heard", length);
+                    let work = Work::Datagram(from, bytes[..length].to_vec());
+                    if self.work.try_send(work).is_err() {
+                        self.counted.lost("no_worker");
+                    }
+                }
+                // A peer that is not there makes the next call fail; it tells nothing of this socket.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(e) => {
+                    log::warn!(target: LOG_TARGET, "datagrams: {e}");
+                    std::thread::sleep(RETRY_READ);
+                }
+            }
+        }
+    }
+
+    /// A worker. The first one also does what is due.
+    fn run(&self, taken: &Receiver<Work>, first: bool) {
+        loop {
+            let rest = if first { self.until_due() } else { LONGEST_REST };
+            match taken.recv_timeout(rest) {
+                Ok(work) => self.work(work, first),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if first && self.clock.now() >= self.due.load(Ordering::SeqCst) {
+                self.tick();
+            }
+        }
+    }
+
+    fn until_due(&self) -> Duration {
+        let due = self.due.load(Ordering::SeqCst);
+        Duration::from_micros(due.saturating_sub(self.clock.now())).min(LONGEST_REST)
+    }
+
+    fn work(&self, work: Work, first: bool) {
+        match work {
+            Work::Datagram(from, bytes) => self.datagram(from, &bytes),
+            Work::Wanted(Wanted { budget, ask }) => self.wanted(budget, ask),
+            Work::Wake => {}
+            Work::Leave => self.leave(),
+        }
+        let next = self.next(&lock(&self.homes));
+        if self.due.fetch_min(next, Ordering::SeqCst) > next && !first {
+            // Full: the first worker has enough to do to look soon.
+            let _: Result<(), TrySendError<Work>> = self.work.try_send(Work::Wake);
+        }
+    }
+
+    /// When something is due again, in microseconds of the gateway's clock.
+    pub(super) fn next(&self, homes: &super::homes::Homes) -> Micros {
+        let now = self.clock.now();
+        let latest = now + LONGEST_REST.as_micros() as Micros;
+        homes.next(now).unwrap_or(latest).max(now + SHORTEST_REST)
+    }
+
+    /// From 0 to 1.
+    pub(super) fn chance(&self) -> f64 {
+        let number = self.random.fetch_add(0x9e37_79b9_7f4a_7c15, Ordering::Relaxed);
+        crate::hash::unit(mix(number))
+    }
+}
