One folder on disk for versions, in place of the gateway's and the service's own

The same five file operations stood in src/net/control.rs and in crates/control/src/disk.rs. crates/folder has them once (crates/stream stays without I/O), with the gateway's limit on what is read as an option, so that neither side reads more or less than before. The service's store of versions and state is named ServiceStore.

--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -3,7 +3,7 @@
 //! What goes out to a connection waits in its queue as messages and as transfers, whose pieces are made when there is
 //! room for them: a connection holds no more than some 256 KB, whatever the version's size.
 
-use crate::disk::Folder;
+use crate::disk::ServiceStore;
 use crate::{COMPILED, DOCUMENT, tls};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -59,7 +59,7 @@
 
 pub struct Server {
     file: ServiceFile,
-    folder: Folder,
+    store: ServiceStore,
     poll: Poll,
     listener: TcpListener,
     config: Arc<ServerConfig>,
@@ -74,8 +74,8 @@
     /// Reads what was kept, and listens.
     pub fn start(file: ServiceFile) -> Result<Server, String> {
         let told = |e: io::Error| format!("{}: {e}", file.listen);
-        let folder = Folder(file.data.clone());
-        let (state, versions) = folder.load(file.epoch)?;
+        let store = ServiceStore::new(&file.data);
+        let (state, versions) = store.load(file.epoch)?;
         let config = tls::server(&file.certificate, &file.key, &file.roots)?;
         let settings = Settings {
             beat: file.beat,
@@ -92,7 +92,7 @@
         let service = Service::new(settings, state, versions, 0);
         tracing::info!(%at, stable = ?service.state().stable, "the control service listens");
         let (lines, began) = (BTreeMap::new(), Instant::now());
-        Ok(Server { file, folder, poll, listener, config, service, lines, next: 1, began, at })
+        Ok(Server { file, store, poll, listener, config, service, lines, next: 1, began, at })
     }
 
     fn now(&self) -> u64 {
@@ -327,12 +327,12 @@
                     }
                 }
                 Output::Keep(state) => {
-                    if let Err(e) = self.folder.keep_state(&state) {
+                    if let Err(e) = self.store.keep_state(&state) {
                         tracing::error!(cause = %e, "the rollout's state is not kept");
                     }
                 }
                 Output::KeepVersion(version) => {
-                    if let Err(e) = self.folder.keep(&version, self.file.keep) {
+                    if let Err(e) = self.store.keep(&version, self.file.keep) {
                         tracing::error!(cause = %e, "a version that takes another one back is not kept");
                     }
                 }
@@ -361,8 +361,8 @@
 
     fn keep_and_commit(&mut self, prepared: Prepared) -> Result<serde_json::Value, String> {
         let id = prepared.version.id.clone();
-        let kept = self.folder.keep(&prepared.version, self.file.keep);
-        kept.and_then(|()| self.folder.keep_state(&prepared.state)).map_err(|e| format!("not kept: {e}"))?;
+        let kept = self.store.keep(&prepared.version, self.file.keep);
+        kept.and_then(|()| self.store.keep_state(&prepared.state)).map_err(|e| format!("not kept: {e}"))?;
         tracing::info!(version = %id, "published");
         let outputs = self.service.commit(prepared);
         self.carry_out(outputs);
--- /dev/null
+++ b/crates/folder/tests/folder.rs
@@ -0,0 +1,76 @@
+//! The folder's operations on a file system.
+
+use rstest::rstest;
+use sagearch_folder::Folder;
+use sagearch_stream::Version;
+use sagearch_stream::store::{Disk, keep, recover};
+use sagearch_stream::version::Documents;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+
+/// A folder of the test's own, which is removed at its end.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new(name: &str) -> Temporary {
+        let path = std::env::temp_dir().join(format!("sagearch-folder-{name}-{}", std::process::id()));
+        fs::create_dir_all(&path).unwrap();
+        Temporary(path)
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn version(number: u64) -> Version {
+    Version::new(1, number, Documents::from([("d.kdl".into(), format!("limits lookups={number}"))]))
+}
+
+#[test]
+fn the_last_versions_are_kept_and_read_back() {
+    let temporary = Temporary::new("keep");
+    let folder = Folder::new(&temporary.0);
+    for number in 1..=4 {
+        keep(&folder, &version(number), 2, 1).unwrap();
+    }
+    let recovered = recover(&folder);
+    let numbers: Vec<u64> = recovered.versions.iter().map(|version| version.id.number).collect();
+    assert_eq!((numbers, recovered.passed_over.len()), (vec![4, 3], 0));
+    assert_eq!(folder.list().unwrap().len(), 2, "nothing is left beside them");
+}
+
+#[rstest]
+#[case::of_the_limit(3, Ok(vec![7; 3]))]
+#[case::over_it(4, Err(io::ErrorKind::FileTooLarge))]
+fn a_file_over_the_limit_is_not_read(#[case] length: usize, #[case] read: Result<Vec<u8>, io::ErrorKind>) {
+    let temporary = Temporary::new(&format!("limit-{length}"));
+    let folder = Folder::new(&temporary.0).with_read_limit(3);
+    folder.write("file", &vec![7; length]).unwrap();
+    assert_eq!(folder.read("file").map_err(|e| e.kind()), read);
+    assert_eq!(Folder::new(&temporary.0).read("file").unwrap().len(), length, "without a limit");
+}
+
+#[test]
+fn a_file_is_written_anew_takes_anothers_place_and_is_removed() {
+    let temporary = Temporary::new("operations");
+    let folder = Folder::new(&temporary.0);
+    folder.write("new", b"longer").unwrap();
+    folder.write("new", b"short").unwrap();
+    folder.write("old", b"before").unwrap();
+    folder.rename("new", "old").unwrap();
+    assert_eq!(folder.read("old").unwrap(), b"short");
+    assert_eq!(folder.read("new").map_err(|e| e.kind()), Err(io::ErrorKind::NotFound));
+    folder.remove("old").unwrap();
+    assert_eq!(folder.list().unwrap(), [] as [String; 0]);
+}
+
+#[test]
+fn a_folder_that_is_not_there_can_not_be_listed() {
+    let temporary = Temporary::new("missing");
+    let folder = Folder::new(temporary.0.join("none"));
+    assert_eq!(folder.list().map_err(|e| e.kind()), Err(io::ErrorKind::NotFound));
+}
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -10,16 +10,17 @@
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use sagearch_folder::Folder;
 use sagearch_operators::control::Control;
 use sagearch_stream::Version;
 use sagearch_stream::message::{Decoder, FromService, encode};
-use sagearch_stream::store::{self, Disk, recover};
+use sagearch_stream::store::{self, recover};
 use sagearch_stream::subscriber::{CONNECT_WITHIN, Input, Note, Output, Settings, Subscriber};
 use std::collections::VecDeque;
 use std::fs;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::path::PathBuf;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,38 +28,9 @@
 const LOOK: Duration = Duration::from_millis(20);
 const STUCK: Duration = Duration::from_secs(5);
 
-/// A folder on this machine.
-pub struct Folder(pub PathBuf);
-
-impl Disk for Folder {
-    fn list(&self) -> io::Result<Vec<String>> {
-        let names = fs::read_dir(&self.0)?.map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned()));
-        names.collect()
-    }
-
-    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
-        let path = self.0.join(name);
-        if fs::metadata(&path)?.len() > store::LARGEST as u64 {
-            return Err(io::ErrorKind::FileTooLarge.into());
-        }
-        fs::read(path)
-    }
-
-    fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let mut file = fs::File::create(self.0.join(name))?;
-        file.write_all(bytes)?;
-        file.sync_all()
-    }
-
-    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
-        fs::rename(self.0.join(from), self.0.join(to))?;
-        // The folder's own entry is to be on the disk as well.
-        fs::File::open(&self.0)?.sync_all()
-    }
-
-    fn remove(&self, name: &str) -> io::Result<()> {
-        fs::remove_file(self.0.join(name))
-    }
+/// Where versions are kept on this machine.
+fn kept_versions(data: &Path) -> Folder {
+    Folder::new(data).with_read_limit(store::LARGEST as u64)
 }
 
 /// Ends the process at a named step, where a test asks for it. Programs that are released have no such steps.
@@ -77,7 +49,7 @@
     if let Err(e) = fs::create_dir_all(data) {
         tracing::error!(cause = %e, folder = %data.display(), "control: versions are held in memory alone");
     }
-    let recovered = recover(&Folder(data.clone()));
+    let recovered = recover(&kept_versions(data));
     for (name, broken) in &recovered.passed_over {
         tracing::warn!(file = name, cause = %broken, "control: a kept version is passed over");
     }
@@ -241,7 +213,7 @@
             Output::Store(version) => {
                 let kept = match &self.control.data {
                     Some(data) => {
-                        store::keep(&Folder(data.clone()), &version, self.control.keep, std::process::id())
+                        store::keep(&kept_versions(data), &version, self.control.keep, std::process::id())
                     }
                     None => Ok(()),
                 };
