Operators' language: values are read in a module of their own, without the circle

check.rs made items of item.rs, which read its values by check.rs. item/value.rs has the kinds of values and imports neither; the one function over all kinds becomes a short one each.

--- a/crates/operators/src/item.rs
+++ b/crates/operators/src/item.rs
@@ -1,6 +1,7 @@
 //! A node that has been held against the schema, and what it says: a value, its default, or nothing.
 
-use crate::check::{self, Read};
+pub mod value;
+
 use crate::fault::Fault;
 use crate::files::Text;
 use crate::schema::{Kind, Rule, Values, Without};
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use value::Read;
 
 pub struct Item {
     pub(crate) text: Rc<Text>,
@@ -68,9 +70,9 @@
     fn read(&self, name: &str) -> Result<Option<Read>, Fault> {
         let Some(property) = self.rule.property(name) else { return Err(self.unknown()) };
         match (self.entry(name), property.without) {
-            (Some(entry), _) => check::value(&self.text, entry, property.kind, name).map(Some),
+            (Some(entry), _) => value::read_entry(&self.text, entry, property.kind, name).map(Some),
             (None, Without::Default(text)) => {
-                check::default(text, property.kind, name).map(Some).map_err(|cause| self.fault(cause))
+                value::default(text, property.kind, name).map(Some).map_err(|cause| self.fault(cause))
             }
             (None, Without::Nothing) => Ok(None),
             (None, Without::Fault) => Err(self.fault(format!("{:?} lacks {name:?}", self.name()))),
@@ -86,7 +88,7 @@
             (Values::None, _) => Kind::Text,
         };
         let bare = self.node.entries().iter().filter(|entry| entry.name().is_none()).enumerate();
-        bare.map(|(at, entry)| check::value(&self.text, entry, kinds(at), self.name())).collect()
+        bare.map(|(at, entry)| value::read_entry(&self.text, entry, kinds(at), self.name())).collect()
     }
 
     fn no<T>(&self, name: &str) -> Result<T, Fault> {
@@ -186,7 +188,7 @@
         }
         match (rule.values, rule.without) {
             (Values::One(kind, _), Without::Default(text)) => {
-                check::default(text, kind, name).map(Some).map_err(|cause| self.fault(cause))
+                value::default(text, kind, name).map(Some).map_err(|cause| self.fault(cause))
             }
             _ => Ok(None),
         }
