--- /dev/null
+++ b/crates/lab/src/model/world/tests.rs
@@ -0,0 +1,230 @@
+//! Single stores, fills, purges and cold starts; and a store's queue against the laws of queues.
+
+use super::*;
+use crate::model::cold::ColdRule;
+use crate::party::Kind;
+use rstest::rstest;
+
+const ORIGIN: PartyId = PartyId(0);
+const PARENT: PartyId = PartyId(1);
+const CACHE: PartyId = PartyId(2);
+const OTHER: PartyId = PartyId(3);
+
+fn spec(kind: Kind, site: &str, slots: usize) -> Spec {
+    let cold = ColdRule { floor: 0.2, warm_up: 10_000_000, multiple: 2.0, window: 1_000_000 };
+    Spec {
+        kind,
+        distance: if site == "hub" { 0 } else { 5_000 },
+        site: site.into(),
+        slots,
+        room: 1_000_000,
+        service: 10_000,
+        link: 1_000_000_000,
+        copies: 100,
+        rate: 1e9,
+        cold,
+    }
+}
+
+fn world() -> World {
+    let stores = [
+        (ORIGIN, spec(Kind::Origin, "hub", 8)),
+        (PARENT, spec(Kind::Parent, "hub", 8)),
+        (CACHE, spec(Kind::Store, "east", 8)),
+        (OTHER, spec(Kind::Store, "east", 8)),
+    ];
+    World::new(stores, 1_000_000, 5)
+}
+
+fn pull(object: &str, source: Option<PartyId>) -> Pull {
+    Pull {
+        key: (object.into(), "1".into()),
+        group: group_of(object),
+        bytes: 1_000,
+        max_age: 60_000_000,
+        source,
+        ride: false,
+        held_only: false,
+        through: false,
+        keep: 0,
+        runs: false,
+        within: 10_000_000,
+    }
+}
+
+/// Plays until nothing is due, or to a time; answers with when they came.
+fn play(world: &mut World, to: Micros) -> Vec<(Micros, Told)> {
+    let mut all = Vec::new();
+    while let Some(at) = world.next().filter(|at| *at <= to) {
+        all.extend(world.advance(at).into_iter().map(|told| (at, told)));
+    }
+    all
+}
+
+fn answer(world: &mut World, now: Micros, store: PartyId, asked: Pull) -> Answer {
+    let id = world.pull(now, store, asked);
+    let told = play(world, Micros::MAX).into_iter().find_map(|(_, told)| match told {
+        Told::Answer(of, answer) if of == id => Some(answer),
+        _ => None,
+    });
+    told.unwrap()
+}
+
+#[test]
+fn a_miss_is_filled_by_parent_and_origin_and_kept_by_both() {
+    let mut world = world();
+    let first = answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
+    assert_eq!(first.note, Note::Miss);
+    assert!(first.waited >= 10_000, "there and back to the hub: {}", first.waited);
+    assert_eq!(answer(&mut world, 1_000_000, CACHE, pull("aa01", None)).note, Note::Hit);
+    assert_eq!(answer(&mut world, 1_000_000, OTHER, pull("aa01", Some(PARENT))).note, Note::Miss);
+    assert_eq!(answer(&mut world, 1_000_000, PARENT, pull("aa01", None)).note, Note::Hit);
+    assert_eq!(answer(&mut world, 1_000_000, CACHE, pull("bb01", Some(ORIGIN))).note, Note::MissRoot);
+}
+
+#[rstest]
+#[case::no_source(None, false, Note::None)]
+#[case::other_cache(Some(OTHER), false, Note::SourceLacks)]
+#[case::what_it_holds(Some(PARENT), true, Note::SourceLacks)]
+fn what_nobody_fills_is_nothing(
+    #[case] source: Option<PartyId>,
+    #[case] held_only: bool,
+    #[case] note: Note,
+) {
+    let told = answer(&mut world(), 0, CACHE, Pull { held_only, ..pull("aa01", source) });
+    assert_eq!((told.word, told.note), (Word::Nothing, note));
+}
+
+#[test]
+fn one_that_joins_gets_the_bytes_of_the_fill_under_way() {
+    let quick = Spec { service: 1, ..spec(Kind::Store, "east", 8) };
+    let mut world = World::new([(ORIGIN, spec(Kind::Origin, "hub", 8)), (CACHE, quick)], 0, 5);
+    world.pull(0, CACHE, Pull { ride: true, ..pull("aa01", Some(ORIGIN)) });
+    world.pull(0, CACHE, Pull { ride: true, ..pull("aa01", Some(ORIGIN)) });
+    let mut notes: Vec<Note> = play(&mut world, Micros::MAX)
+        .into_iter()
+        .filter_map(|(_, told)| if let Told::Answer(_, answer) = told { Some(answer.note) } else { None })
+        .collect();
+    notes.sort_by_key(|note| *note == Note::Join);
+    assert_eq!(notes, [Note::MissRoot, Note::Join]);
+}
+
+#[test]
+fn after_a_purge_a_copy_lasts_until_the_store_has_heard_of_it() {
+    let mut world = world();
+    answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
+    world.purge(1_000_000, 1);
+    // The store may not have heard yet; who asks for nothing older gets nothing older.
+    let young = Pull { max_age: 0, ..pull("aa01", None) };
+    assert_eq!(answer(&mut world, 1_000_001, CACHE, young).word, Word::Nothing);
+    play(&mut world, 3_000_000);
+    assert_eq!(answer(&mut world, 3_000_000, CACHE, pull("aa01", None)).word, Word::Nothing);
+    assert_eq!(world.version(1), 1);
+}
+
+#[test]
+fn a_store_that_dies_takes_what_is_open_with_it_and_starts_with_nothing() {
+    let mut world = world();
+    answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
+    world.pull(1_000_000, CACHE, pull("aa01", None));
+    world.crash(1_000_000, CACHE);
+    assert!(play(&mut world, 2_000_000).is_empty() && !world.is_alive(CACHE));
+    world.start(2_000_000, CACHE);
+    assert_eq!(answer(&mut world, 2_000_000, CACHE, pull("aa01", None)).word, Word::Nothing);
+}
+
+#[test]
+fn a_dead_parent_ends_the_fills_that_wait_for_it() {
+    let mut world = world();
+    world.crash(0, PARENT);
+    let told = answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
+    assert_eq!((told.word, told.note), (Word::Error, Note::SourceDead));
+}
+
+#[test]
+fn a_cold_cache_that_all_send_to_falls_and_a_warm_one_does_not() {
+    for (cold, falls) in [(true, true), (false, false)] {
+        let mut world = world();
+        if cold {
+            world.crash(0, CACHE);
+            world.start(0, CACHE);
+        }
+        let mut fell = false;
+        // Of 8 slots a fifth bears 160 requests a second, and falls above 320; a second later above 450.
+        for at in 0..2_000 {
+            let now = at * 2_000;
+            fell |= play(&mut world, now).iter().any(|(_, told)| *told == Told::Fell(CACHE));
+            if world.is_alive(CACHE) {
+                world.pull(now, CACHE, pull("aa01", None));
+            }
+        }
+        assert_eq!(fell, falls);
+    }
+}
+
+#[test]
+fn the_origin_takes_its_rate_and_refuses_the_rest() {
+    let stores = [(ORIGIN, Spec { rate: 100.0, ..spec(Kind::Origin, "hub", 1_000) })];
+    let mut world = World::new(stores, 0, 1);
+    let mut refused = 0;
+    for at in 0..5_000 {
+        world.pull(at * 2_000, ORIGIN, pull("aa01", None));
+        refused += play(&mut world, at * 2_000)
+            .iter()
+            .filter(|(_, told)| matches!(told, Told::Answer(_, answer) if answer.word == Word::Refused))
+            .count();
+    }
+    assert!((3_980..=4_000).contains(&refused), "{refused}");
+}
+
+/// A queue of the kind M/M/k: its mean wait against Erlang's C, and Little's law.
+#[rstest]
+#[case::one_slot(1, 60.0)]
+#[case::four(4, 320.0)]
+#[case::eight_nearly_full(8, 700.0)]
+fn a_store_keeps_the_laws_of_queues(#[case] slots: usize, #[case] per_second: f64) {
+    let stores = [(ORIGIN, spec(Kind::Origin, "hub", slots))];
+    let mut world = World::new(stores, 0, 11);
+    let mut random = Pcg64Mcg::seed_from_u64(23);
+    let (mut now, mut inside, mut last, count) = (0.0_f64, 0.0, 0.0, 400_000);
+    let (mut came, mut stayed, mut ended) = (HashMap::new(), 0.0, 0.0);
+    let mut take = |told: Vec<(Micros, Told)>, came: &mut HashMap<TaskId, f64>| {
+        for (at, told) in told {
+            let Told::Answer(id, answer) = told else { continue };
+            assert_ne!(answer.word, Word::Refused);
+            stayed += at as f64 - came.remove(&id).unwrap();
+            ended += 1.0;
+        }
+    };
+    for _ in 0..count {
+        now += -(1.0 - random.random::<f64>()).ln() * 1e6 / per_second;
+        while let Some(at) = world.next().filter(|at| *at as f64 <= now) {
+            inside += world.inside(ORIGIN) as f64 * (at as f64 - last);
+            last = at as f64;
+            take(world.advance(at).into_iter().map(|told| (at, told)).collect(), &mut came);
+        }
+        inside += world.inside(ORIGIN) as f64 * (now - last);
+        last = now;
+        let asked = Pull { within: Micros::MAX / 2, bytes: 1, ..pull("aa01", None) };
+        came.insert(world.pull(now as Micros, ORIGIN, asked), now);
+    }
+    let (rate, mean_stay, mean_inside) = (ended / now, stayed / ended, inside / now);
+    assert!(
+        (mean_inside / (rate * mean_stay) - 1.0).abs() < 0.02,
+        "Little: {mean_inside} {rate} {mean_stay}"
+    );
+    let wait = mean_stay - 10_000.0;
+    let should = erlang_c(slots, per_second / 100.0) / (slots as f64 * 100.0 - per_second) * 1e6;
+    assert!((wait / should - 1.0).abs() < 0.05, "Erlang: {wait} {should}");
+}
+
+/// The chance that one that comes must wait, at so many slots and so much offered.
+fn erlang_c(slots: usize, offered: f64) -> f64 {
+    let (mut term, mut sum) = (1.0, 1.0);
+    for n in 1..slots {
+        term *= offered / n as f64;
+        sum += term;
+    }
+    let last = term * offered / slots as f64 / (1.0 - offered / slots as f64);
+    last / (sum + last)
+}
