--- /dev/null
+++ b/src/net/store/io.rs
@@ -0,0 +1,154 @@
+//! A connection's two coroutines: the writer, which connects and then takes what is queued, and the reader, which hands
+//! on answers.
+
+use super::answer::{Answers, End, Reply};
+use super::connection::{Conn, Out};
+use super::{Answered, LOG_TARGET, Stores};
+use crate::broker::Order;
+use crate::net::{lock, out_of_descriptors, spawn};
+use may::io::WaitIo;
+use may::net::TcpStream;
+use may::sync::mpsc;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A store that takes no bytes for this long has its connection closed.
+const WRITE_STUCK: Duration = Duration::from_secs(2);
+const PIECE: usize = 16 * 1024;
+/// How often a writer looks for room in a connection's buffer.
+const ROOM: Duration = Duration::from_millis(2);
+
+impl<A: Answered> Stores<A> {
+    /// A connection's writer, from its opening to its end.
+    pub(super) fn run(&self, conn: &Arc<Conn<A>>, at: SocketAddr, work: &mpsc::Receiver<Out>) {
+        let began = Instant::now();
+        let stream = match connect(at, self.limits().connect) {
+            Ok(stream) => stream,
+            Err(e) => {
+                log::debug!(target: LOG_TARGET, "store {at}: {e}");
+                // For want of descriptors here the store was not even called: that is no word against it.
+                let here = out_of_descriptors(&e);
+                return conn.fail_all(if here { &End::NotSent } else { &End::Unreachable });
+            }
+        };
+        {
+            let mut state = lock(&conn.state);
+            (state.heard, state.stream) = (Instant::now(), Some(stream.clone()));
+            state.way = began.elapsed();
+        }
+        spawn_reader(conn.clone(), stream.clone(), at);
+        while let Ok(out) = work.recv() {
+            let bytes = match out {
+                Out::Close => break,
+                Out::Kill(id) => format!("KILL {id:016x}\r\n").into_bytes(),
+                Out::Send { id, order, bytes } => {
+                    // Closed by the store while it was idle, though the reader has not run yet: of what is not
+                    // written here it is sure that it never ran.
+                    if has_ended(&stream) {
+                        break;
+                    }
+                    if !self.may_write(conn, id, &order) {
+                        continue;
+                    }
+                    bytes
+                }
+            };
+            if let Err(e) = write_out(&stream, &bytes) {
+                log::debug!(target: LOG_TARGET, "store {at}: {e}");
+                break;
+            }
+        }
+        let _ = stream.shutdown(Shutdown::Both);
+        conn.fail_all(&End::NotSent);
+        lock(&conn.state).stream = None;
+    }
+
+    /// Whether an order that is still waited for may go out now. Rules on drains and purges: a send's time counts from
+    /// its first byte, and the connection may have taken long to come up.
+    fn may_write(&self, conn: &Conn<A>, id: u64, order: &Order) -> bool {
+        let allowed = (self.gate)(order);
+        let current = {
+            let mut state = lock(&conn.state);
+            let pending = state.pending.get_mut(&id).filter(|it| it.attempt == order.attempt);
+            pending.map(|pending| pending.written = allowed).is_some()
+        };
+        if current && !allowed {
+            conn.deliver(id, Reply::bare(End::NotSent));
+        }
+        current && allowed
+    }
+}
+
+fn connect(at: SocketAddr, within: Duration) -> io::Result<Arc<TcpStream>> {
+    let stream = TcpStream::connect_timeout(&at, within)?;
+    stream.set_nodelay(true)?;
+    Ok(Arc::new(stream))
+}
+
+/// Starts the reader. Its end is the writer's too.
+fn spawn_reader<A: Answered>(conn: Arc<Conn<A>>, stream: Arc<TcpStream>, at: SocketAddr) {
+    spawn(move || {
+        if let Err(e) = read_answers(&conn, &stream) {
+            log::debug!(target: LOG_TARGET, "store {at}: {e}");
+        }
+        // A reset by a dying process, or a bad line: nothing more comes here. Closed first, as what is open
+        // goes out again by other ways at once. What had not been written is no sign that the store can't
+        // be reached.
+        let _ = stream.shutdown(Shutdown::Both);
+        conn.fail_all(&End::NotSent);
+        let _ = conn.queue.send(Out::Close);
+    });
+}
+
+fn read_answers<A: Answered>(conn: &Conn<A>, stream: &TcpStream) -> io::Result<()> {
+    let (mut piece, mut answers, mut done) = (vec![0; PIECE], Answers::default(), Vec::new());
+    loop {
+        let read = match stream.inner().read(&mut piece) {
+            Ok(0) => return Ok(()),
+            Ok(read) => read,
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                stream.wait_io();
+                continue;
+            }
+            Err(e) => return Err(e),
+        };
+        let bad = answers.take(&piece[..read], &mut done);
+        {
+            let mut state = lock(&conn.state);
+            (state.heard, state.midway) = (Instant::now(), answers.midway());
+        }
+        for (id, reply) in done.drain(..) {
+            conn.deliver(id, reply);
+        }
+        bad.map_err(|text| io::Error::new(io::ErrorKind::InvalidData, text))?;
+    }
+}
+
+/// Whether the store has closed or reset the connection, and nothing of an answer stands before that.
+fn has_ended(stream: &TcpStream) -> bool {
+    match stream.inner().peek(&mut [0]) {
+        Ok(read) => read == 0,
+        Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
+/// Writes all, beside the reader that waits for the same socket's events: a full buffer, which is rare, is
+/// looked at again and again.
+fn write_out(stream: &TcpStream, mut bytes: &[u8]) -> io::Result<()> {
+    let since = Instant::now();
+    while !bytes.is_empty() {
+        match stream.inner().write(bytes) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => bytes = &bytes[written..],
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock && since.elapsed() < WRITE_STUCK => {
+                may::coroutine::sleep(ROOM);
+            }
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- a/src/net/store/tests.rs
+++ b/src/net/store/tests.rs
@@ -1,5 +1,7 @@
+use super::answer::{Answers, LONGEST_LINE};
 use super::*;
 use rstest::rstest;
+use std::collections::{HashMap, VecDeque};
 
 #[rstest]
 #[case::hit("a1 ok res=TCP_HIT,etag=4be,made=17,ttfb=0 3\r\nx\ny\r\n", End::Ok(b"x\ny".to_vec()), Detail::Hit)]
