--- /dev/null
+++ b/src/net/shared/grants.rs
@@ -0,0 +1,84 @@
+//! Amounts: asked for by this gateway's loop or by a neighbour, handed out by the budget's home, and taken in.
+
+use super::wire::{Body, GrantAuthority};
+use super::{LOG_TARGET, Shared, lock, optional_claim_fields};
+use sagearch_homes::message::Sender;
+use sagearch_homes::{Micros, Slice};
+use sagearch_ledger::{Grant, GrantRequest, Terms};
+
+impl Shared {
+    /// The slice and the terms of a budget.
+    pub(super) fn budget_terms(&self, budget: u8) -> Option<(Slice, Terms)> {
+        let ledger = lock(&self.ledger);
+        ledger.get(usize::from(budget)).map(|account| (account.slice, account.terms))
+    }
+
+    /// The loop wants more.
+    pub(super) fn request_grant(&self, budget: u8, request: GrantRequest) {
+        let Some((slice, _)) = self.budget_terms(budget) else { return };
+        let now = self.clock.now();
+        let own = self.directory.own();
+        let to = lock(&self.homes).holder.preferred_home(slice);
+        if to != own.member {
+            return self.send(vec![(to, Body::GrantRequest { budget, request })]);
+        }
+        if let Some((authority, grant)) = self.grant(now, own, budget, request) {
+            self.receive_grant(budget, grant, authority);
+        }
+    }
+
+    /// Hands out of a budget, as its home.
+    pub(super) fn grant(
+        &self,
+        now: Micros,
+        who: Sender,
+        budget: u8,
+        request: GrantRequest,
+    ) -> Option<(GrantAuthority, Grant)> {
+        let (slice, _) = self.budget_terms(budget)?;
+        let homes = lock(&self.homes);
+        let Some(epoch) = homes.holder.holds(now, slice) else {
+            self.counted.lost("not_home");
+            return None;
+        };
+        let until = homes.holder.held_until(slice)?;
+        let claim = homes.principals.principal(now, slice, Some(epoch));
+        let mut ledger = lock(&self.ledger);
+        drop(homes);
+        let account = ledger.get_mut(usize::from(budget))?;
+        let claim = claim.filter(|_| account.federated);
+        let grant = account.bank(epoch, now).grant(now, (who.member.0, who.incarnation), request)?;
+        let name = account.name.clone();
+        drop(ledger);
+        // It may have been stopped since it looked: what leaves now would be of a home that was.
+        let leaves = self.clock.now();
+        if leaves >= until {
+            self.counted.lost("lease_over");
+            return None;
+        }
+        log::debug!(
+            target: LOG_TARGET,
+            "acts slice={} epoch={epoch} {} at={} budget={name} to={} amount={}",
+            slice.0,
+            optional_claim_fields(claim.as_ref()),
+            self.clock.unix_us(leaves),
+            who.member.0,
+            grant.amount,
+        );
+        Some((GrantAuthority { slice, epoch, claim }, grant))
+    }
+
+    /// An amount has come for this gateway.
+    pub(super) fn receive_grant(&self, budget: u8, grant: Grant, authority: GrantAuthority) {
+        let fenced = authority.claim.is_some_and(|claim| self.floors.load().fenced(authority.slice, &claim));
+        if fenced {
+            return self.counted.lost("fenced_grants");
+        }
+        let Some(granted) = self.granted.get(usize::from(budget)) else {
+            return self.counted.lost("out_of_place");
+        };
+        if granted.try_send((grant, authority)).is_err() {
+            self.counted.lost("grants_unheard");
+        }
+    }
+}
--- /dev/null
+++ b/src/net/shared/record.rs
@@ -0,0 +1,114 @@
+//! What becomes of slices here: noted in the ledger, counted, and logged for operators.
+
+use super::outbox::Out;
+use super::wire::Body;
+use super::{LOG_TARGET, Shared, claim_fields, lock};
+use sagearch_homes::message::{ClaimStatus, Claims};
+use sagearch_homes::{Claim, ClaimChange, LeaseChange, LossReason, Micros, Slice};
+
+impl Shared {
+    /// Records what has changed. Returns what others are to be told of it.
+    pub(super) fn record(&self, now: Micros, changes: Vec<LeaseChange>, claims: Vec<ClaimChange>) -> Out {
+        self.record_leases(now, changes);
+        self.record_claims(now, claims)
+    }
+
+    pub(super) fn record_leases(&self, now: Micros, changes: Vec<LeaseChange>) {
+        if changes.is_empty() {
+            return;
+        }
+        let at = self.clock.unix_us(now);
+        let (mut gained, mut moved, mut lapsed) = (0, 0, 0);
+        let mut ledger = lock(&self.ledger);
+        for change in changes {
+            match change {
+                LeaseChange::Gained(slice, epoch) => {
+                    gained += 1;
+                    log::debug!(target: LOG_TARGET, "gained slice={} epoch={epoch} at={at}", slice.0);
+                    let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
+                    accounts.for_each(|account| account.open(epoch, now));
+                }
+                LeaseChange::Lost(slice, epoch, why) => {
+                    match why {
+                        LossReason::Moved => moved += 1,
+                        LossReason::Lapsed => lapsed += 1,
+                    }
+                    log::debug!(target: LOG_TARGET, "lost slice={} epoch={epoch} at={at}", slice.0);
+                    let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
+                    accounts.for_each(|account| account.close());
+                }
+            }
+        }
+        drop(ledger);
+        for (count, what) in [(gained, "gained"), (moved, "moved"), (lapsed, "lapsed")] {
+            if count > 0 {
+                log::info!(target: LOG_TARGET, "homes: {count} {what}");
+                self.counted.change(what, count);
+            }
+        }
+    }
+
+    pub(super) fn record_claims(&self, now: Micros, changes: Vec<ClaimChange>) -> Out {
+        let mut out = Out::new();
+        let at = self.clock.unix_us(now);
+        let (mut claimed, mut left) = (0_u64, 0_u64);
+        for change in changes {
+            match change {
+                ClaimChange::Claimed(slice, claim) => {
+                    claimed += 1;
+                    log::debug!(target: LOG_TARGET, "claimed slice={} {} at={at}", slice.0, claim_fields(&claim));
+                }
+                ClaimChange::Left(slice, claim) => {
+                    left += 1;
+                    log::debug!(target: LOG_TARGET, "left slice={} {} at={at}", slice.0, claim_fields(&claim));
+                }
+                ClaimChange::Split { slice, lost, won } => self.record_split(at, slice, &lost, &won),
+                ClaimChange::Fenced { slice, lost, won } => {
+                    self.record_fenced(at, slice, &lost, &won);
+                    out.extend(self.fence_neighbours(slice, won));
+                }
+            }
+        }
+        if claimed + left > 0 {
+            log::info!(target: LOG_TARGET, "claims: {claimed} made, {left} left");
+            self.counted.change("claimed", claimed);
+        }
+        out
+    }
+
+    fn record_split(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+        self.counted.change("split", 1);
+        let [lost_by, won_by] = [lost, won].map(|claim| self.directory.region_name(claim.region));
+        log::warn!(
+            target: LOG_TARGET,
+            "split brain: {won_by:?} and {lost_by:?} both claim slice {}; {won_by:?} wins",
+            slice.0
+        );
+        log::debug!(
+            target: LOG_TARGET,
+            "split slice={} lost {} won {} at={at}",
+            slice.0,
+            claim_fields(lost),
+            claim_fields(won)
+        );
+    }
+
+    fn record_fenced(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+        self.counted.change("fenced", 1);
+        log::warn!(target: LOG_TARGET, "fenced: this gateway's claim on slice {} has lost", slice.0);
+        log::debug!(
+            target: LOG_TARGET,
+            "fenced slice={} lost {} won {} at={at}",
+            slice.0,
+            claim_fields(lost),
+            claim_fields(won)
+        );
+    }
+
+    /// All of the region who may hold something under a claim that has lost hear at once, and not when it ends.
+    fn fence_neighbours(&self, slice: Slice, won: Claim) -> Out {
+        let status = ClaimStatus { slice, claim: won, age: Some(0) };
+        let fence = |member| (member, Body::Fence(Claims(vec![status])));
+        self.directory.neighbours().map(fence).collect()
+    }
+}
--- /dev/null
+++ b/src/net/shared/regions.rs
@@ -0,0 +1,80 @@
+//! Messages between regions: claims told to the others, and what comes from them, handed on to the slice's home.
+
+use super::homes::Homes;
+use super::outbox::Out;
+use super::wire::{Body, RemoteMessage};
+use super::{Shared, lock};
+use sagearch_homes::message::{ClaimStatus, Claims, Sender};
+use sagearch_homes::{Member, Micros, Region};
+use std::collections::BTreeMap;
+
+impl Shared {
+    /// A message of this gateway's own to another region.
+    pub(super) fn remote(&self, message: RemoteMessage) -> Body {
+        let Sender { member, incarnation } = self.directory.own();
+        Body::Remote { from: member.0, incarnation, forwarded: false, message }
+    }
+
+    /// Another's message, handed on within this region.
+    pub(super) fn forwarded(&self, from: Sender, message: RemoteMessage) -> Body {
+        Body::Remote { from: from.member.0, incarnation: from.incarnation, forwarded: true, message }
+    }
+
+    /// Sends claims to one member of each other region: to the next one where nothing was heard since the last time.
+    pub(super) fn broadcast_claims(&self, homes: &mut Homes, claims: Vec<Claims>, out: &mut Out) {
+        if claims.is_empty() {
+            return;
+        }
+        for region in self.directory.other_regions() {
+            let contact = &mut homes.contacts[usize::from(region.0)];
+            contact.attempt += usize::from(!std::mem::take(&mut contact.heard));
+            let Some(to) = self.directory.contact(region, contact.attempt) else { continue };
+            out.extend(claims.iter().map(|claims| (to, self.remote(RemoteMessage::Claims(claims.clone())))));
+        }
+    }
+
+    pub(super) fn receive_remote(
+        &self,
+        now: Micros,
+        region: Region,
+        from: Sender,
+        forwarded: bool,
+        message: RemoteMessage,
+    ) {
+        lock(&self.homes).heard(region);
+        match message {
+            RemoteMessage::Claims(claims) => self.receive_remote_claims(now, region, from, forwarded, claims),
+            RemoteMessage::LoanRequest(loan) => self.receive_loan_request(now, region, from, forwarded, loan),
+            RemoteMessage::LoanGranted(loan) => self.receive_loan(now, region, from, loan),
+        }
+    }
+
+    fn receive_remote_claims(
+        &self,
+        now: Micros,
+        region: Region,
+        from: Sender,
+        forwarded: bool,
+        claims: Claims,
+    ) {
+        let (answer, mut out) = self.receive_claims(now, region, &claims);
+        out.extend(answer.map(|answer| (from.member, self.remote(RemoteMessage::Claims(answer)))));
+        if !forwarded {
+            out.extend(self.forward_claims(from, claims));
+        }
+        self.send(out);
+    }
+
+    /// To the homes of their slices in this region.
+    fn forward_claims(&self, from: Sender, claims: Claims) -> Out {
+        let homes = lock(&self.homes);
+        let mut by_home: BTreeMap<Member, Vec<ClaimStatus>> = BTreeMap::new();
+        for status in claims.0 {
+            by_home.entry(homes.holder.preferred_home(status.slice)).or_default().push(status);
+        }
+        drop(homes);
+        by_home.remove(&self.directory.own().member);
+        let forward = |(to, told)| (to, self.forwarded(from, RemoteMessage::Claims(Claims(told))));
+        by_home.into_iter().map(forward).collect()
+    }
+}
