Lab: least-squares fit of a cost against a size, with a verdict of shape

The size in two years is reached by slopes, and a slope needs its residual and a verdict whether the cost is a line at all. fit::line gives slope, intercept, residual (absolute, relative) and shape, by comparison with a power law in logarithms and, where neither fits, by the steps between points.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod check;
 pub mod condition;
 pub mod experiment;
+pub mod fit;
 pub mod lives;
 pub mod model;
 pub mod outcome;
