Lab: slopes of the control plane's roles, written and not compiled yet

The size in two years is judged by slopes of the real code at growing sizes. Modules by role, a counting allocator, the threads' processor clock, and a gateway from outside.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod schema;
 pub mod settings;
 pub mod shrink;
+pub mod slopes;
 pub mod tally;
 pub mod trace;
 pub mod verdict;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,9 @@
 use sagearch_lab::scenario::{self, Scenario};
 use sagearch_lab::schedule::Schedule;
 use sagearch_lab::shrink;
+use sagearch_lab::slopes;
+use sagearch_lab::slopes::memory::CountingAllocator;
+use sagearch_lab::slopes::report::RoleReport;
 use sagearch_lab::verdict::Verdict;
 use sagearch_operators::{Files, OneFile};
 use std::collections::BTreeMap;
@@ -13,6 +16,10 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+/// `slopes` tells memory by what the program has allocated.
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 #[derive(Parser)]
 #[command(
     version,
@@ -75,6 +82,18 @@
         #[arg(long, default_value_t = 40)]
         tries: usize,
     },
+    /// Measures what each role of the control plane costs at growing sizes.
+    Slopes {
+        /// Where the results go as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+        /// One role instead of all.
+        #[arg(long)]
+        role: Option<String>,
+        /// The gateway's program, for the role `feed-plain`.
+        #[arg(long, default_value = "target/release/sagearch", hide = true)]
+        gateway: PathBuf,
+    },
     /// Takes the place of itself by a program that ends when the laboratory does.
     #[command(hide = true)]
     Leash {
@@ -260,6 +279,31 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// The role that is measured from outside, with the gateway's program.
+const FEED_PLAIN: &str = "feed-plain";
+
+fn slopes_of(role: Option<&str>, gateway: &Path) -> Result<Vec<RoleReport>, String> {
+    let tell = |report: &RoleReport| say!("{}", slopes::report::text(report));
+    if role != Some(FEED_PLAIN) {
+        return slopes::run(role, tell).map_err(|e| e.to_string());
+    }
+    let gateway = gateway.canonicalize().map_err(|e| format!("{}: {e}", gateway.display()))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let measured = runtime.map_err(|e| e.to_string())?.block_on(slopes::feed_plain::measure(&gateway));
+    let report = measured.map_err(|e| e.to_string())?;
+    tell(&report);
+    Ok(vec![report])
+}
+
+fn measure_slopes(role: Option<&str>, gateway: &Path, json: Option<&Path>) -> Result<ExitCode, String> {
+    let reports = slopes_of(role, gateway)?;
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&reports).map_err(|e| e.to_string())?;
+        std::fs::write(path, text + "\n").map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn terminated() {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
@@ -275,6 +319,7 @@
         Command::Diff { before, after, results } => diff(&before, &after, &results),
         Command::Shrink { scenario, seed, gateway, tries } => shrunk(&scenario, seed, &gateway, tries),
         Command::Plan { scenario, seed } => plan(&scenario, seed),
+        Command::Slopes { json, role, gateway } => measure_slopes(role.as_deref(), &gateway, json.as_deref()),
         Command::Leash { parent, program, arguments } => {
             Err(fleet::leash(parent, &program, &arguments).to_string())
         }
--- /dev/null
+++ b/crates/lab/src/slopes/gateway_settings.rs
@@ -0,0 +1,17 @@
+//! A deployment's settings object, from a scenario of the laboratory.
+
+use super::Failure;
+use crate::{scenario, settings};
+use sagearch_operators::OneFile;
+use serde_json::Value;
+
+const NAME: &str = "slopes.kdl";
+const SCENARIO: &str =
+    "fleet parents=2 {\n site \"east\" gateways=1 stores=4\n}\nload rate=1\nphase \"rest\" for=\"1s\" {\n}\n";
+
+pub fn object() -> Result<Value, Failure> {
+    let file = OneFile { name: NAME, text: SCENARIO };
+    let scenario = scenario::read(NAME, &file).map_err(|faults| Failure::Refused(faults.to_string()))?;
+    let site = scenario.sites.first().ok_or(Failure::NotReached("the scenario has a site"))?;
+    Ok(settings::settings(&scenario, site))
+}
--- /dev/null
+++ b/crates/lab/src/slopes/popularity.rs
@@ -0,0 +1,105 @@
+//! Popularity's home: the sum of what the gateways of a region report, over its share of 2.6 billion objects. The crate is
+//! not used by the gateway yet: there is no wire format and no stated interval, so reports are encoded by `postcard` as
+//! other datagrams are, and an interval of 10 s is taken.
+
+use super::Failure;
+use super::figure::{Figure, Load, Traffic, Unit};
+use super::memory::growth_of;
+use super::processor::{Stopwatch, time_of};
+use rand::SeedableRng;
+use rand_distr::{Distribution, Zipf};
+use rand_pcg::Pcg64Mcg;
+use sagearch_popularity::{Counter, Report, Sum};
+
+const OBJECTS: f64 = 2.6e9;
+const INTERVAL_SECONDS: f64 = 10.0;
+/// Requests of one gateway in an interval: 1.9 million a second among 2,200.
+const REQUESTS: usize = 8_636;
+const ZIPF_EXPONENT: f64 = 0.9;
+const INTERVALS: u32 = 4;
+const HALVED_EACH: u32 = 8;
+const MOST_COUNTED: u64 = 1_000_000;
+/// What a gateway holds of a region's scores, and so what a home needs to hand out.
+const PLACES: usize = 30_000;
+const SEED: u64 = 7;
+
+/// What each gateway counted in an interval, as it tells it.
+fn reports_of(gateways: u64, interval: u32, zipf: &Zipf<f64>) -> Vec<(u16, Report)> {
+    let mut reports = Vec::new();
+    for gateway in 0..gateways {
+        let mut random = Pcg64Mcg::seed_from_u64(SEED ^ (gateway << 20) ^ u64::from(interval));
+        let mut counter = Counter::default();
+        (0..REQUESTS).for_each(|_| counter.count(zipf.sample(&mut random) as u64));
+        reports.extend(counter.close(interval).into_iter().map(|report| (gateway as u16, report)));
+    }
+    reports
+}
+
+/// All reports of a region go to one home: what it would take without slices. With slices a home has its share of it.
+pub fn reports(gateways: u64) -> Result<Vec<Figure>, Failure> {
+    let zipf = Zipf::new(OBJECTS, ZIPF_EXPONENT).map_err(|e| Failure::Refused(e.to_string()))?;
+    let intervals: Vec<Vec<(u16, Report)>> =
+        (0..INTERVALS).map(|interval| reports_of(gateways, interval, &zipf)).collect();
+    let mut stopwatch = Stopwatch::default();
+    let mut incoming = Traffic::default();
+    let (sum, growth) = growth_of(|| {
+        let mut sum = Sum::new(PLACES, MOST_COUNTED, HALVED_EACH, 0);
+        for (interval, reports) in intervals.iter().enumerate() {
+            for (gateway, report) in reports {
+                incoming.add(postcard::to_stdvec(report).map_or(0, |bytes| bytes.len()));
+                stopwatch.time(|| sum.hear(interval as u32, *gateway, 1, report));
+            }
+        }
+        sum
+    });
+    let hottest = time_of(|| sum.hottest(PLACES));
+    let load = Load {
+        seconds: f64::from(INTERVALS) * INTERVAL_SECONDS,
+        instances: 1.0,
+        incoming,
+        outgoing: Traffic::default(),
+        processor: stopwatch.total(),
+    };
+    let mut figures = load.figures();
+    let each = load.processor.as_secs_f64() * 1e6 / incoming.messages.max(1) as f64;
+    figures.push(Figure::new("processor for one report", Unit::Microseconds, each));
+    figures.push(Figure::milliseconds("processor for the hottest 30,000", hottest.1));
+    figures.extend(growth.map(|growth| Figure::megabytes("memory", growth.left)));
+    Ok(figures)
+}
+
+/// A home's table filled to its last place, and what a further report of 16 new objects takes then.
+pub fn table(places: u64) -> Result<Vec<Figure>, Failure> {
+    const COUNTS: u64 = 16;
+    const FURTHER: u64 = 2_000;
+    const REPORTS_EACH: u64 = 64;
+    let report = |number: u64| Report {
+        interval: 0,
+        number: (number % REPORTS_EACH) as u8,
+        counts: (0..COUNTS).map(|at| (sagearch_homes::place::mix(number * COUNTS + at), 1)).collect(),
+    };
+    let first = places.div_ceil(COUNTS);
+    let gateway = |number: u64| (number / REPORTS_EACH) as u16;
+    let (mut sum, growth) = growth_of(|| {
+        let mut sum = Sum::new(places as usize, MOST_COUNTED, HALVED_EACH, 0);
+        for number in 0..first {
+            sum.hear(0, gateway(number), 1, &report(number));
+        }
+        sum
+    });
+    if sum.len() as u64 != places {
+        return Err(Failure::NotReached("the table is full"));
+    }
+    let further: Vec<(u16, Report)> =
+        (first..first + FURTHER).map(|number| (gateway(number), report(number))).collect();
+    let (_, hearing) =
+        time_of(|| further.iter().for_each(|(from, report)| drop(sum.hear(0, *from, 1, report))));
+    let (_, ageing) = time_of(|| sum.age(HALVED_EACH));
+    let each = hearing.as_secs_f64() * 1e6 / FURTHER as f64;
+    let mut figures = vec![
+        Figure::new("processor for one report", Unit::Microseconds, each),
+        Figure::milliseconds("processor for halving all", ageing),
+    ];
+    figures.extend(growth.map(|growth| Figure::megabytes("memory", growth.left)));
+    Ok(figures)
+}
--- /dev/null
+++ b/crates/lab/src/slopes/subscriber.rs
@@ -0,0 +1,125 @@
+//! A gateway's side of the configuration stream: frames of one whole version in, the version staged and in force.
+
+use super::Failure;
+use super::documents;
+use super::figure::{Figure, Unit};
+use super::memory::growth_of;
+use super::processor::Stopwatch;
+use sagearch_operators::{Anywhere, compiled};
+use sagearch_stream::message::{Decoder, FromService, PROTOCOL, encode};
+use sagearch_stream::service::{Output as Sent, Role, Service, Settings as ServiceSettings, State};
+use sagearch_stream::subscriber::{Input, Output, Settings, Subscriber};
+use sagearch_stream::version::Version;
+
+const NODE: &str = "gateway-0000";
+/// What a gateway's TLS reader hands on in one go.
+const READ_BYTES: usize = 16 * 1024;
+const LARGEST_VERSION: usize = 33_554_432;
+
+/// The frames in which the service sends a version to a gateway that has none.
+fn frames(version: Version) -> Result<Vec<u8>, Failure> {
+    let settings = ServiceSettings {
+        beat: 5_000,
+        spread: 10_000,
+        at_once: 1,
+        sessions: 1,
+        keep: 2,
+        largest: LARGEST_VERSION,
+    };
+    let state =
+        State { epoch: version.id.epoch, last: 1, stable: Some(version.id.number), ..State::default() };
+    let mut service = Service::new(settings, state, vec![version], 0);
+    let mut outputs = service.opened(1, Role::Gateway(NODE.into()), 0);
+    let hello = sagearch_stream::message::FromGateway::Hello {
+        protocol: PROTOCOL,
+        node: NODE.into(),
+        instance: 1,
+        have: None,
+        nacked: None,
+    };
+    outputs.extend(service.said(1, hello, 0));
+    let mut bytes = Vec::new();
+    for output in outputs {
+        match output {
+            Sent::Say(_, message) => bytes.extend(encode(&message).map_err(Failure::Refused)?),
+            Sent::Transfer(_, transfer) => {
+                for message in transfer {
+                    bytes.extend(encode(&message).map_err(Failure::Refused)?);
+                }
+            }
+            _ => {}
+        }
+    }
+    Ok(bytes)
+}
+
+fn subscriber() -> Subscriber {
+    let settings = Settings {
+        node: NODE.into(),
+        instance: 1,
+        addresses: 1,
+        largest: LARGEST_VERSION,
+        beat: 5_000,
+        spread: 10_000,
+    };
+    let mut subscriber = Subscriber::new(settings, None, 7, 0);
+    subscriber.handle(0, Input::Tick);
+    subscriber.handle(0, Input::Connected);
+    subscriber
+}
+
+/// Takes the frames in and hands back what is to be staged.
+fn take_in(subscriber: &mut Subscriber, frames: &[u8]) -> Result<Vec<Output>, Failure> {
+    let mut decoder = Decoder::default();
+    let mut outputs = Vec::new();
+    for piece in frames.chunks(READ_BYTES) {
+        decoder.take(piece);
+        while let Some(message) = decoder.message::<FromService>().map_err(Failure::Refused)? {
+            outputs.extend(subscriber.handle(1, Input::Said(message)));
+        }
+    }
+    Ok(outputs)
+}
+
+/// One whole version: received and put together, then read as a gateway reads it, then in force.
+pub fn receive(tenants: u64) -> Result<Vec<Figure>, Failure> {
+    let documents = documents::published(documents::text(tenants, 0))?;
+    let text_bytes = documents[documents::TEXT].len();
+    let frames = frames(Version::new(1, 1, documents))?;
+    let (mut receiving, mut staging) = (Stopwatch::default(), Stopwatch::default());
+    let (kept, growth) = growth_of(|| {
+        let mut subscriber = subscriber();
+        let outputs = receiving.time(|| take_in(&mut subscriber, &frames))?;
+        let staged = outputs.into_iter().find_map(|output| match output {
+            Output::Stage(version) => Some(version),
+            _ => None,
+        });
+        let version = staged.ok_or(Failure::NotReached("the version has come whole"))?;
+        let text = &version.documents[documents::TEXT];
+        let form = &version.documents[documents::COMPILED];
+        let operators = staging.time(|| compiled(documents::TEXT, text, form, &Anywhere));
+        let operators = operators.map_err(|faults| Failure::Refused(faults.to_string()))?;
+        for done in [Input::Staged(Ok(())), Input::Stored(Ok(())), Input::Committed] {
+            subscriber.handle(2, done);
+        }
+        subscriber.in_force().ok_or(Failure::NotReached("the version is in force"))?;
+        Ok((subscriber, operators))
+    });
+    drop(kept?);
+    let mut figures = vec![
+        Figure::megabytes("operators' text", text_bytes),
+        Figure::megabytes("bytes in, whole version", frames.len()),
+        Figure::milliseconds("processor, receiving", receiving.total()),
+        Figure::milliseconds("processor, reading the compiled form", staging.total()),
+        Figure::new(
+            "processor, a whole version 2,000 times a day",
+            Unit::PercentOfCore,
+            (receiving.total() + staging.total()).as_secs_f64() / (86_400.0 / 2_000.0) * 100.0,
+        ),
+    ];
+    if let Some(growth) = growth {
+        figures.push(Figure::megabytes("memory, in force", growth.left));
+        figures.push(Figure::megabytes("memory, at most meanwhile", growth.peak));
+    }
+    Ok(figures)
+}
