--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -283,7 +283,9 @@
 const FEED_PLAIN: &str = "feed-plain";
 
 fn slopes_of(role: Option<&str>, gateway: &Path) -> Result<Vec<RoleReport>, String> {
-    let tell = |report: &RoleReport| say!("{}", slopes::report::text(report));
+    let tell = |report: &RoleReport| {
+        say!("{}", slopes::report::text(report));
+    };
     if role != Some(FEED_PLAIN) {
         return slopes::run(role, tell).map_err(|e| e.to_string());
     }
--- a/crates/lab/src/slopes/popularity.rs
+++ b/crates/lab/src/slopes/popularity.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand_distr::{Distribution, Zipf};
 use rand_pcg::Pcg64Mcg;
-use sagearch_popularity::{Counter, Report, Sum};
+use sagearch_popularity::{Counter, Heard, Report, Sum};
 
 const OBJECTS: f64 = 2.6e9;
 const INTERVAL_SECONDS: f64 = 10.0;
@@ -92,8 +92,13 @@
     }
     let further: Vec<(u16, Report)> =
         (first..first + FURTHER).map(|number| (gateway(number), report(number))).collect();
-    let (_, hearing) =
-        time_of(|| further.iter().for_each(|(from, report)| drop(sum.hear(0, *from, 1, report))));
+    let (heard, hearing) = time_of(|| {
+        let counted = |(from, report): &&(u16, Report)| sum.hear(0, *from, 1, report) == Heard::Counted;
+        further.iter().filter(counted).count()
+    });
+    if heard != further.len() {
+        return Err(Failure::NotReached("all further reports count"));
+    }
     let (_, ageing) = time_of(|| sum.age(HALVED_EACH));
     let each = hearing.as_secs_f64() * 1e6 / FURTHER as f64;
     let mut figures = vec![
