Control side of a gateway apart from its fronts, many to a process

Gateway::start is split: src/net/control_side.rs holds the broker and what feeds it, with no statics, an instance number of its own and an end (stop, Drop); src/net/event_sink.rs is where events come into force, which a host may wrap; the feed's follower counts bytes, answers, failed calls and events, shown at /v1/metrics.

--- a/src/events.rs
+++ b/src/events.rs
@@ -6,7 +6,7 @@
 use serde_json::Value;
 
 /// A stretch of numbered events, as a poll's answer and `known` hold it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
 pub struct Batch {
     pub offset: u64,
     #[serde(deserialize_with = "usable")]
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -76,6 +76,37 @@
     versions: Family<Handshake, Counter>,
     /// What is shared with other gateways.
     pub shared: Counted,
+    pub feed: FeedCounters,
+}
+
+/// What the event feed has cost so far. Clones count together.
+#[derive(Clone, Debug, Default)]
+pub struct FeedCounters {
+    pub bytes_sent: Counter,
+    pub bytes_received: Counter,
+    /// Polls that were answered, and calls that failed.
+    pub answers: Counter,
+    pub failed_calls: Counter,
+    /// Events that were brought into force.
+    pub events: Counter,
+}
+
+impl FeedCounters {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("feed_bytes_sent", "Bytes sent to the event feed", self.bytes_sent.clone());
+        registry.register(
+            "feed_bytes_received",
+            "Bytes that came from the event feed",
+            self.bytes_received.clone(),
+        );
+        registry.register("feed_answers", "Polls of the event feed that were answered", self.answers.clone());
+        registry.register(
+            "feed_failed_calls",
+            "Calls of the event feed that failed",
+            self.failed_calls.clone(),
+        );
+        registry.register("feed_events", "Events of the feed brought into force", self.events.clone());
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -140,6 +171,7 @@
             applied: Histogram::new(exponential_buckets(1e-3, 2.0, 14)),
             versions: Family::default(),
             shared: Counted::default(),
+            feed: FeedCounters::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -175,6 +207,7 @@
         let text = "Time from a version that has come whole to its being in force";
         registry.register("config_apply_seconds", text, m.applied.clone());
         registry.register("config_versions", "Streamed versions by outcome", m.versions.clone());
+        m.feed.register(&mut registry);
         let shared = &m.shared;
         registry.register(
             "shared_dropped",
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -1,12 +1,14 @@
 //! The event bus: lists of stores and purges, by long poll.
 
-use super::core::Core;
-use super::lock;
+use super::event_sink::EventSink;
+use super::{Permit, lock};
 use crate::events::Batch;
+use crate::metrics::FeedCounters;
 use may::net::TcpStream;
 use rand::{RngExt, SeedableRng};
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
+use std::os::fd::{AsRawFd, RawFd};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -154,11 +156,29 @@
     follower: AtomicU64,
     /// A poll has been answered.
     answered: AtomicBool,
+    /// Nothing is followed any more, and no event applied.
+    stopped: AtomicBool,
+    /// The socket of the connection that is open. Whoever closes it takes it out first.
+    socket: Mutex<Option<RawFd>>,
+    counters: FeedCounters,
 }
 
 impl Feed {
-    pub fn new(seed: u64) -> Feed {
-        Feed { seed, ..Feed::default() }
+    pub fn new(seed: u64, counters: FeedCounters) -> Feed {
+        Feed { seed, counters, ..Feed::default() }
+    }
+
+    /// Ends the follower and shuts its connection, so that it waits for no answer.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::SeqCst);
+        if let Some(socket) = *lock(&self.socket) {
+            // SAFETY: the descriptor is open, as it is taken out under this lock before it is closed.
+            unsafe { libc::shutdown(socket, libc::SHUT_RDWR) };
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        self.stopped.load(Ordering::SeqCst)
     }
 
     /// Whether the bus has told what it had to tell at the start.
@@ -169,33 +189,88 @@
 
 /// Takes in what is new of a batch. Held throughout: two followers that overlap must not take an event twice,
 /// nor a later one first.
-pub fn take(feed: &Feed, core: &Core, batch: Batch) {
+pub fn take(feed: &Feed, sink: &dyn EventSink, batch: Batch) {
     let mut last = lock(&feed.last);
+    if feed.stopped() {
+        return;
+    }
     let batch = batch.after(*last);
     *last = batch.offset.max(*last);
-    core.apply(batch);
+    feed.counters.events.inc_by(batch.batch.len() as u64);
+    sink.apply(batch);
+}
+
+/// A connection to the bus, whose bytes are counted.
+struct Connection {
+    stream: TcpStream,
+    feed: Arc<Feed>,
+}
+
+impl Connection {
+    fn open(feed: &Arc<Feed>, at: SocketAddr, silent: Duration) -> io::Result<Connection> {
+        let connection = Connection { stream: connect(at, silent)?, feed: feed.clone() };
+        *lock(&feed.socket) = Some(connection.stream.as_raw_fd());
+        // Or who stops the feed just now would not see this connection.
+        if feed.stopped() {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(connection)
+    }
+}
+
+impl Read for Connection {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        let read = self.stream.read(to)?;
+        self.feed.counters.bytes_received.inc_by(read as u64);
+        Ok(read)
+    }
+}
+
+impl Write for Connection {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let written = self.stream.write(bytes)?;
+        self.feed.counters.bytes_sent.inc_by(written as u64);
+        Ok(written)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.stream.flush()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        let mut socket = lock(&self.feed.socket);
+        // A later follower may have one of its own.
+        if *socket == Some(self.stream.as_raw_fd()) {
+            *socket = None;
+        }
+    }
 }
 
 /// Follows the bus at an address, from the last event on, in place of the follower before. That one still
-/// hands on what its poll under way brings, and then ends.
-pub fn follow(feed: &Arc<Feed>, core: &Arc<Core>, at: SocketAddr) {
-    let (feed, core) = (feed.clone(), core.clone());
+/// hands on what its poll under way brings, and then ends. `running` is held until its end.
+pub fn follow(feed: &Arc<Feed>, sink: &Arc<dyn EventSink>, at: SocketAddr, running: Permit) {
+    let (feed, sink) = (feed.clone(), sink.clone());
     let number = feed.follower.fetch_add(1, Ordering::SeqCst) + 1;
-    super::spawn(move || poll(&feed, &core, at, number));
+    super::spawn(move || {
+        let _running = running;
+        poll(&feed, &*sink, at, number);
+    });
 }
 
 /// Polls and hands every event on. A lost connection is opened again at once.
-fn poll(feed: &Feed, core: &Core, at: SocketAddr, number: u64) {
-    let mut line: Option<(TcpStream, Vec<u8>)> = None;
+fn poll(feed: &Arc<Feed>, sink: &dyn EventSink, at: SocketAddr, number: u64) {
+    let mut line: Option<(Connection, Vec<u8>)> = None;
     let mut told = false;
     let mut pauses = Pauses::new(feed.seed ^ number);
-    while feed.follower.load(Ordering::SeqCst) == number {
+    while feed.follower.load(Ordering::SeqCst) == number && !feed.stopped() {
         let fresh = line.is_none();
         let last = *lock(&feed.last);
         let mut poll = || -> io::Result<Batch> {
             let (mut stream, mut buffer) = match line.take() {
                 Some(line) => line,
-                None => (connect(at, pauses.silent())?, Vec::new()),
+                None => (Connection::open(feed, at, pauses.silent())?, Vec::new()),
             };
             // The first word is wanted at once, also where it is that there is nothing new.
             let hold = if feed.caught_up() { HOLD_MS } else { 0 };
@@ -213,17 +288,19 @@
                     log::info!("event bus: connected again");
                 }
                 pauses.failed = 0;
-                take(feed, core, batch);
+                feed.counters.answers.inc();
+                take(feed, sink, batch);
                 feed.answered.store(true, Ordering::SeqCst);
             }
+            Err(_) if feed.stopped() => return,
             Err(e) => {
+                feed.counters.failed_calls.inc();
                 // Once a trouble, not once a try; and one that refuses at once is not asked in a busy loop.
                 if !std::mem::replace(&mut told, true) {
                     log::warn!("event bus: {e}; calling anew");
                 }
-                // All that the gateway knows comes by this connection: an idle client makes way for it.
                 if super::out_of_descriptors(&e) {
-                    core.clients.make_room();
+                    sink.out_of_descriptors();
                 }
                 if fresh {
                     may::coroutine::sleep(pauses.again());
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -3,6 +3,7 @@
 //! All of it runs on a thread of its own, which may block on the disk and the network; requests see a version only as
 //! the snapshot that is swapped.
 
+use super::Permit;
 use super::clock::Clock;
 use super::identity::Guard;
 use super::layers::{Layers, Ready};
@@ -21,6 +22,7 @@
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// How long a look for what has come waits, and a write for its other side.
@@ -103,6 +105,8 @@
     guard: &'a Guard,
     control: Control,
     clock: Clock,
+    /// Tells processes that keep versions in one folder apart.
+    instance: u64,
     subscriber: Subscriber,
     line: Option<(Stream, Decoder)>,
     /// Staged, and not in force yet.
@@ -147,9 +151,9 @@
         self.clock.now() / 1_000
     }
 
-    fn run(&mut self) -> ! {
+    fn run(&mut self, stopping: &AtomicBool) {
         let mut piece = vec![0; 64 * 1024];
-        loop {
+        while !stopping.load(Ordering::SeqCst) {
             let (requests, failed) = self.guard.counts();
             self.subscriber.set_counts(requests, failed);
             self.take(Input::Tick);
@@ -241,7 +245,8 @@
             Output::Store(version) => {
                 let kept = match &self.control.data {
                     Some(data) => {
-                        store::keep(&Folder(data.clone()), &version, self.control.keep, std::process::id())
+                        let folder = Folder(data.clone());
+                        store::keep(&folder, &version, self.control.keep, self.instance as u32)
                     }
                     None => Ok(()),
                 };
@@ -284,30 +289,48 @@
     }
 }
 
-/// Follows the control services from the version that is in force on.
-pub fn follow(
-    layers: Arc<Layers>,
-    guard: Arc<Guard>,
-    control: Control,
-    clock: Clock,
-    node: &str,
-    seed: u64,
-    in_force: Option<Arc<Version>>,
-) -> io::Result<()> {
+/// A follower of the control services, before it is started.
+pub struct Following {
+    pub layers: Arc<Layers>,
+    pub guard: Arc<Guard>,
+    pub control: Control,
+    pub clock: Clock,
+    /// The gateway's name.
+    pub node: String,
+    /// Tells the gateway's runs apart, and gateways of one process.
+    pub instance: u64,
+    pub seed: u64,
+    /// From which it goes on.
+    pub in_force: Option<Arc<Version>>,
+}
+
+/// Follows the control services on a thread of its own, until it is told to stop. `running` is held until then.
+pub fn follow(following: Following, stopping: Arc<AtomicBool>, running: Permit) -> io::Result<()> {
+    let Following { layers, guard, control, clock, node, instance, seed, in_force } = following;
     let settings = Settings {
-        node: node.into(),
-        instance: u64::from(std::process::id()),
+        node,
+        instance,
         addresses: control.addresses.len(),
         largest: control.largest,
         beat: control.beat,
         spread: control.spread,
     };
     let thread = std::thread::Builder::new().name("control".into()).stack_size(1024 * 1024);
-    let following = thread.spawn(move || {
+    let spawned = thread.spawn(move || {
+        let _running = running;
         let subscriber = Subscriber::new(settings, in_force, seed ^ 0xc0_47_01, clock.now() / 1_000);
-        let (layers, guard) = (&*layers, &*guard);
-        Follower { layers, guard, control, clock, subscriber, line: None, ready: None, began: Instant::now() }
-            .run()
+        let mut follower = Follower {
+            layers: &layers,
+            guard: &guard,
+            control,
+            clock,
+            instance,
+            subscriber,
+            line: None,
+            ready: None,
+            began: Instant::now(),
+        };
+        follower.run(&stopping);
     });
-    following.map(drop)
+    spawned.map(drop)
 }
--- /dev/null
+++ b/src/net/control_side.rs
@@ -0,0 +1,216 @@
+//! The control side of a gateway: all that it does without clients and requests. The broker and what feeds it (the event
+//! feed, the operators' file, versions from a control service, state that gateways share).
+//!
+//! [`super::gateway::Gateway`] puts fronts before one. A process may start many, each with a name, a seed and settings of
+//! its own, once [`super::set_up`] has been called.
+
+use super::bus::{self, Feed};
+use super::clock::Clock;
+use super::core::Mailbox;
+use super::event_sink::{BrokerEvents, EventSink};
+use super::identity::Guard;
+use super::layers::Layers;
+use super::shared::{self, Shared};
+use super::{Permit, control, lock};
+use crate::broker::Broker;
+use crate::events::Batch;
+use crate::interface::Settings;
+use crate::metrics::FeedCounters;
+use crate::settings::{Deployment, Names};
+use sagearch_operators::Operators;
+use sagearch_stream::Version;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// How often it is looked at whether all has come to an end.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
+/// What a control side is told at its start.
+pub struct ControlConfig {
+    pub name: String,
+    pub seed: u64,
+    /// Unlike that of any other gateway of the process, and of any earlier run of this one.
+    pub instance: u64,
+    pub bus: SocketAddr,
+    /// Where datagrams of other gateways come in, if that is not the address by which they know it.
+    pub peer_listen: Option<SocketAddr>,
+    /// Whether it may be the member of the fleet that the operators' file names.
+    pub joins_fleet: bool,
+    /// The bus's events of the start.
+    pub known: Batch,
+    pub settings: Settings,
+    pub names: Names,
+    pub operators: Result<Operators, String>,
+}
+
+/// A gateway without clients and requests. Dropped, it stops.
+pub struct ControlSide {
+    pub clock: Clock,
+    pub guard: Arc<Guard>,
+    pub layers: Arc<Layers>,
+    pub feed: Arc<Feed>,
+    /// The operators' file of the start; empty where it could not be used.
+    pub operators: Operators,
+    broker: Arc<Mutex<Broker<Mailbox>>>,
+    events: Arc<BrokerEvents>,
+    shared: Option<Arc<Shared>>,
+    name: String,
+    seed: u64,
+    instance: u64,
+    /// The kept version that is in force since the start.
+    resumed: Option<Arc<Version>>,
+    stopping: Arc<AtomicBool>,
+    /// Its threads and coroutines.
+    running: Arc<AtomicUsize>,
+}
+
+impl ControlSide {
+    /// Starts all of it. `wrap` is given what brings events into force, and may put an observer round it.
+    pub fn start(
+        mut config: ControlConfig,
+        wrap: impl FnOnce(Arc<dyn EventSink>) -> Arc<dyn EventSink>,
+    ) -> io::Result<ControlSide> {
+        let (bus, known) = (config.bus, std::mem::take(&mut config.known));
+        let control_side = ControlSide::prepare(config)?;
+        let sink = wrap(control_side.events());
+        bus::take(&control_side.feed, &*sink, known);
+        control_side.follow_control()?;
+        control_side.follow_bus(&sink, bus);
+        Ok(control_side)
+    }
+
+    /// All but what follows others. Events of the start are left to the caller.
+    pub(super) fn prepare(config: ControlConfig) -> io::Result<ControlSide> {
+        let ControlConfig {
+            name, seed, instance, peer_listen, joins_fleet, settings, names, operators, ..
+        } = config;
+        let clock = Clock::default();
+        let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
+        let guard = Guard::new(clock, seed, Deployment { settings, names });
+        let layers = Arc::new(Layers::new(guard.clone()));
+        layers.start(&operators);
+        let operators = operators.unwrap_or_default();
+        // Before anything answers.
+        let resumed = operators.control.as_ref().and_then(|told| control::resume(&layers, told));
+        operators.control.iter().for_each(|told| layers.wait_for_a_version(told));
+        let events = Arc::new(BrokerEvents::new(clock, broker.clone(), guard.clone()));
+        let feed = Arc::new(Feed::new(seed, guard.metrics.feed.clone()));
+        let mut control_side = ControlSide {
+            clock,
+            guard,
+            layers,
+            feed,
+            operators,
+            broker,
+            events,
+            shared: None,
+            name,
+            seed,
+            instance,
+            resumed,
+            stopping: Arc::default(),
+            running: Arc::default(),
+        };
+        if joins_fleet {
+            control_side.join_fleet(peer_listen)?;
+        }
+        Ok(control_side)
+    }
+
+    /// Shares state with other gateways, where the operators' file says so.
+    fn join_fleet(&mut self, peer_listen: Option<SocketAddr>) -> io::Result<()> {
+        let Some(fleet) = &self.operators.fleet else { return Ok(()) };
+        let counted = self.guard.metrics.shared.clone();
+        let started =
+            shared::start(fleet, &self.name, peer_listen, self.clock, self.seed, counted, &self.running)?;
+        let Some(started) = started else { return Ok(()) };
+        started.budgets.into_iter().for_each(|budget| self.broker().share_budget(budget));
+        self.shared = Some(started.shared);
+        Ok(())
+    }
+
+    pub fn broker(&self) -> MutexGuard<'_, Broker<Mailbox>> {
+        lock(&self.broker)
+    }
+
+    /// The same, for those who keep it.
+    pub(super) fn broker_handle(&self) -> Arc<Mutex<Broker<Mailbox>>> {
+        self.broker.clone()
+    }
+
+    /// What brings events into force in the broker.
+    pub fn events(&self) -> Arc<BrokerEvents> {
+        self.events.clone()
+    }
+
+    /// What the event feed has cost so far.
+    pub fn counters(&self) -> &FeedCounters {
+        &self.guard.metrics.feed
+    }
+
+    /// Has the broker do what has come due; shared budgets ask for more by it. Fronts do so every 2 ms.
+    pub fn tick(&self) {
+        self.broker().tick(self.clock.now());
+    }
+
+    /// Follows the control services that the operators' file names.
+    pub(super) fn follow_control(&self) -> io::Result<()> {
+        let Some(told) = self.operators.control.clone() else { return Ok(()) };
+        let following = control::Following {
+            layers: self.layers.clone(),
+            guard: self.guard.clone(),
+            control: told,
+            clock: self.clock,
+            node: self.name.clone(),
+            instance: self.instance,
+            seed: self.seed,
+            in_force: self.resumed.clone(),
+        };
+        let Some(running) = self.permit() else { return Ok(()) };
+        control::follow(following, self.stopping.clone(), running)
+    }
+
+    /// Follows the bus at an address, in place of the one before.
+    pub(super) fn follow_bus(&self, sink: &Arc<dyn EventSink>, at: SocketAddr) {
+        let Some(running) = self.permit() else { return };
+        bus::follow(&self.feed, sink, at, running);
+    }
+
+    fn permit(&self) -> Option<Permit> {
+        Permit::take(&self.running, usize::MAX)
+    }
+
+    /// Gives back what it holds for the fleet.
+    pub fn leave_fleet(&self) {
+        self.shared.iter().for_each(|shared| shared.end());
+    }
+
+    /// Has its threads and coroutines end, and closes the connection to the feed. No event is applied from then on.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        self.feed.stop();
+        self.guard.stop();
+        self.shared.iter().for_each(|shared| shared.stop());
+    }
+
+    /// Whether all that was started has come to its end, waited for so long at most. Not for a coroutine to call.
+    pub fn stopped_within(&self, within: Duration) -> bool {
+        let began = Instant::now();
+        while self.running.load(Ordering::SeqCst) > 0 {
+            if began.elapsed() >= within {
+                return false;
+            }
+            std::thread::sleep(LOOK_EVERY);
+        }
+        true
+    }
+}
+
+impl Drop for ControlSide {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -2,13 +2,14 @@
 
 use super::clients::Clients;
 use super::clock::Clock;
+use super::event_sink::{BrokerEvents, EventSink, StoreTable};
 use super::identity::Guard;
 use super::service::{Client, ConnectionDraining, Final, Service, Work};
 use super::snapshot::Snapshot;
 use super::store::{Answered, End, Limits, Reply, Stores, Ticket};
 use super::{Permit, lock};
 use crate::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
-use crate::events::{self, Batch, Event, list_kind};
+use crate::events::{Batch, Instance};
 use crate::interface::*;
 use crate::settings::{Connections, Deployment};
 use may::sync::mpsc;
@@ -98,7 +99,8 @@
     /// Requests whose clients wait. Their ids come from outside and may repeat, so they have a number.
     watched: Mutex<HashMap<u64, Mailbox>>,
     watches: AtomicU64,
-    listed: AtomicBool,
+    /// Brings events of the bus into force.
+    events: Arc<BrokerEvents>,
     /// Lists are applied, what lasts is read, and clients are listened for.
     pub(super) ready: AtomicBool,
     /// The process has been told to stop, at that time.
@@ -122,7 +124,7 @@
 
     /// A core without members, which takes nothing yet.
     pub(super) fn new(parts: Parts) -> Core {
-        let Parts { clock, broker, guard, clients, sockets, connections, socket_shared } = parts;
+        let Parts { clock, broker, guard, events, clients, sockets, connections, socket_shared } = parts;
         let asked = broker.clone();
         let gate = Arc::new(move |order: &Order| lock(&asked).may_send(clock.now(), order));
         Core {
@@ -132,7 +134,7 @@
             clients,
             watched: Mutex::default(),
             watches: AtomicU64::new(0),
-            listed: AtomicBool::new(false),
+            events,
             ready: AtomicBool::new(false),
             stopping: OnceLock::new(),
             socket_shared,
@@ -214,42 +216,6 @@
         self.stores.take_places(there.stores);
     }
 
-    /// Takes in events of the bus.
-    pub fn apply(&self, batch: Batch) {
-        for Event { topology, ban, .. } in batch.batch {
-            if let Some(topology) = topology {
-                let first = !self.listed.swap(true, Ordering::SeqCst);
-                let kind = list_kind(&topology, first);
-                if kind == ListKind::Complete {
-                    self.stores.all_gone();
-                }
-                let (mut members, deployment) = (Vec::new(), self.deployment());
-                for line in &topology.instances {
-                    let member = events::member(line, &deployment.names, self.clock.at(line.started_at_ms));
-                    let gone = member.state == MemberState::Gone;
-                    self.stores.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
-                    log::info!(
-                        "{} is {}: {} in {}, weight {}, cell {}, started {}",
-                        line.instance_id,
-                        line.lifecycle,
-                        line.machine_type,
-                        line.zone,
-                        line.weight,
-                        line.cell,
-                        line.started_at_ms,
-                    );
-                    members.push(member);
-                }
-                self.broker().members(self.clock.now(), kind, members);
-            }
-            if let Some(ban) = ban {
-                log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
-                let ago = self.clock.ago(ban.ts);
-                self.broker().purged(self.clock.now(), ban.url, ban.tag, ago);
-            }
-        }
-    }
-
     fn run(
         &self,
         request: Request,
@@ -355,6 +321,32 @@
     }
 }
 
+impl EventSink for Core {
+    fn apply(&self, batch: Batch) {
+        self.events.apply_to(&*self.stores, batch);
+    }
+
+    fn renew_freshness(&self, as_of: Micros, lasts: Micros) {
+        self.events.renew_freshness(as_of, lasts);
+    }
+
+    /// All that the gateway knows comes by the feed's connection: an idle client makes way for it.
+    fn out_of_descriptors(&self) {
+        self.clients.make_room();
+    }
+}
+
+impl StoreTable for Stores<Mailbox> {
+    fn all_gone(&self) {
+        Stores::all_gone(self);
+    }
+
+    fn listed(&self, line: &Instance, member: &Member) {
+        let gone = member.state == MemberState::Gone;
+        self.list(member.id, &line.instance_id, line.host_port.parse().ok(), gone);
+    }
+}
+
 impl Service for Core {
     fn snapshot(&self) -> Arc<Snapshot> {
         self.guard.snapshot()
@@ -505,6 +497,7 @@
     pub clock: Clock,
     pub broker: Arc<Mutex<Broker<Mailbox>>>,
     pub guard: Arc<Guard>,
+    pub events: Arc<BrokerEvents>,
     pub clients: Arc<Clients>,
     pub sockets: usize,
     pub connections: Connections,
--- /dev/null
+++ b/src/net/event_sink.rs
@@ -0,0 +1,108 @@
+//! Where events of the feed are brought into force: the broker, and whoever holds connections to the listed stores.
+
+use super::clock::Clock;
+use super::core::Mailbox;
+use super::identity::Guard;
+use super::lock;
+use crate::broker::Broker;
+use crate::events::{self, Ban, Batch, Event, Instance, Topology, list_kind};
+use crate::interface::{ListKind, Member, Micros};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+/// Takes in what the follower of the event feed brings. A host may wrap one to learn when events are in force.
+pub trait EventSink: Send + Sync {
+    /// Brings events into force: they are when this returns.
+    fn apply(&self, batch: Batch);
+
+    /// Every event told before `as_of` is in force, which counts as fresh for `lasts`. Only called where a freshness
+    /// lease is kept.
+    fn renew_freshness(&self, as_of: Micros, lasts: Micros);
+
+    /// A call failed for want of descriptors.
+    fn out_of_descriptors(&self);
+}
+
+/// Who holds connections to the stores of the list.
+pub trait StoreTable {
+    /// A complete list follows: stores that it lacks are gone.
+    fn all_gone(&self);
+
+    /// A line of the list, and what it says of its store.
+    fn listed(&self, line: &Instance, member: &Member);
+}
+
+/// A gateway without connections to stores.
+struct NoStores;
+
+impl StoreTable for NoStores {
+    fn all_gone(&self) {}
+
+    fn listed(&self, _: &Instance, _: &Member) {}
+}
+
+/// Brings events into force in a gateway's broker.
+pub struct BrokerEvents {
+    clock: Clock,
+    broker: Arc<Mutex<Broker<Mailbox>>>,
+    guard: Arc<Guard>,
+    /// A first list has been applied.
+    listed: AtomicBool,
+}
+
+impl BrokerEvents {
+    pub fn new(clock: Clock, broker: Arc<Mutex<Broker<Mailbox>>>, guard: Arc<Guard>) -> BrokerEvents {
+        BrokerEvents { clock, broker, guard, listed: AtomicBool::new(false) }
+    }
+
+    /// Applies events in order to the broker and to a table of stores.
+    pub fn apply_to(&self, stores: &dyn StoreTable, batch: Batch) {
+        for Event { topology, ban, .. } in batch.batch {
+            topology.iter().for_each(|topology| self.list(stores, topology));
+            ban.into_iter().for_each(|ban| self.purge(ban));
+        }
+    }
+
+    fn list(&self, stores: &dyn StoreTable, topology: &Topology) {
+        let first = !self.listed.swap(true, Ordering::SeqCst);
+        let kind = list_kind(topology, first);
+        if kind == ListKind::Complete {
+            stores.all_gone();
+        }
+        let deployment = self.guard.snapshot().deployment.clone();
+        let mut members = Vec::new();
+        for line in &topology.instances {
+            let member = events::member(line, &deployment.names, self.clock.at(line.started_at_ms));
+            stores.listed(line, &member);
+            log::info!(
+                "{} is {}: {} in {}, weight {}, cell {}, started {}",
+                line.instance_id,
+                line.lifecycle,
+                line.machine_type,
+                line.zone,
+                line.weight,
+                line.cell,
+                line.started_at_ms,
+            );
+            members.push(member);
+        }
+        lock(&self.broker).members(self.clock.now(), kind, members);
+    }
+
+    fn purge(&self, ban: Ban) {
+        log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
+        let ago = self.clock.ago(ban.ts);
+        lock(&self.broker).purged(self.clock.now(), ban.url, ban.tag, ago);
+    }
+}
+
+/// A gateway without clients takes events in as its broker does.
+impl EventSink for BrokerEvents {
+    fn apply(&self, batch: Batch) {
+        self.apply_to(&NoStores, batch);
+    }
+
+    fn renew_freshness(&self, _: Micros, _: Micros) {}
+
+    fn out_of_descriptors(&self) {}
+}
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -1,15 +1,14 @@
 //! The gateway's parts put together: started, moved to new settings, and brought to an end.
 
 use super::clients::Clients;
-use super::clock::Clock;
+use super::control_side::{ControlConfig, ControlSide};
 use super::core::{Core, Parts};
-use super::identity::Guard;
-use super::layers::Layers;
+use super::event_sink::EventSink;
 use super::service::Service;
-use super::{admin, bus, control, dns, handover, http, link, lock, shared};
-use crate::broker::Broker;
+use super::{admin, bus, dns, handover, http, link, lock};
 use crate::config::{Config, ConfigError, Shape};
 use crate::consensus::Instance;
+use crate::events::Batch;
 use crate::settings::Deployment;
 use may::net::TcpListener;
 use sagearch_operators::fronts::{self, Raft};
@@ -77,8 +76,7 @@
 /// A gateway that listens.
 pub struct Gateway {
     pub core: Arc<Core>,
-    layers: Arc<Layers>,
-    feed: Arc<bus::Feed>,
+    control_side: Arc<ControlSide>,
     pub listen: SocketAddr,
     /// Where operators call.
     pub admin: Option<SocketAddr>,
@@ -88,7 +86,6 @@
     sockets: usize,
     /// Where routes are agreed on, with the other instances of the group.
     pub raft: Option<Instance>,
-    shared: Option<Arc<shared::Shared>>,
 }
 
 impl Gateway {
@@ -111,44 +108,37 @@
             lasting,
             shape,
         } = config;
-        let clock = Clock::default();
         let connections = names.connections;
-        let broker = Arc::new(Mutex::new(Broker::new(settings.clone(), seed)));
-        let guard = Guard::new(clock, seed, Deployment { settings, names });
-        let layers = Arc::new(Layers::new(guard.clone()));
-        layers.start(&operators);
-        let operators = operators.unwrap_or_default();
-        // Before anything answers.
-        let resumed = operators.control.as_ref().and_then(|control| control::resume(&layers, control));
-        operators.control.iter().for_each(|control| layers.wait_for_a_version(control));
         let most = (sockets * 2 / 5).min((memory_mb - MEMORY_OWN_MB) * ANSWERS_PER_MB);
         let clients = Arc::new(Clients::new(most, (sockets / 16).max(2)));
         let beside = socket.is_some();
+        let control_side = ControlSide::prepare(ControlConfig {
+            name: name.clone(),
+            seed,
+            instance: u64::from(std::process::id()),
+            bus,
+            peer_listen,
+            // Two processes of an upgrade can't be one member: the new one is one from its own next start on.
+            joins_fleet: !beside,
+            known: Batch::default(),
+            settings,
+            names,
+            operators,
+        })?;
+        let control_side = Arc::new(control_side);
         let parts = Parts {
-            clock,
-            broker,
-            guard: guard.clone(),
+            clock: control_side.clock,
+            broker: control_side.broker_handle(),
+            guard: control_side.guard.clone(),
+            events: control_side.events(),
             clients: clients.clone(),
             sockets,
             connections,
             socket_shared: beside,
         };
         let core = Arc::new(Core::new(parts));
-        let shared = match &operators.fleet {
-            // Two processes of an upgrade can't be one member: the new one is one from its own next start on.
-            Some(_) if beside => None,
-            Some(fleet) => {
-                let counted = guard.metrics.shared.clone();
-                shared::start(fleet, &name, peer_listen, clock, seed, counted)?
-            }
-            None => None,
-        };
-        let shared = shared.map(|started| {
-            started.budgets.into_iter().for_each(|budget| core.broker().share_budget(budget));
-            started.shared
-        });
-        let feed = Arc::new(bus::Feed::new(seed));
-        bus::take(&feed, &core, known);
+        let sink: Arc<dyn EventSink> = core.clone();
+        bus::take(&control_side.feed, &*sink, known);
         let keeper = handover::start(&core, lasting.as_deref(), &name)?;
         let admin = admin.map(TcpListener::bind).transpose()?;
         let operators_at = admin.as_ref().map(TcpListener::local_addr).transpose()?;
@@ -162,7 +152,7 @@
         };
         let listen = listener.local_addr()?;
         let service: Arc<dyn Service> = core.clone();
-        let dns = match operators.dns {
+        let dns = match control_side.operators.dns.clone() {
             Some(dns) if beside && in_use(dns.listen) => {
                 let at = dns.listen;
                 when_free(at, move || dns::start(&service, dns, listen, seed).map(drop))?;
@@ -170,7 +160,7 @@
             }
             dns => dns.map(|dns| dns::start(&service, dns, listen, seed)).transpose()?,
         };
-        let raft = match operators.raft {
+        let raft = match control_side.operators.raft.clone() {
             Some(raft) if beside && in_use(raft.listen) => {
                 let core = core.clone();
                 when_free(raft.listen, move || {
@@ -184,18 +174,16 @@
             raft => raft.map(|raft| agree(&core, &raft)).transpose()?,
         };
         if raft.is_some() {
-            layers.routes_are_agreed();
-        }
-        if let Some(told) = operators.control {
-            control::follow(layers.clone(), guard, told, clock, &name, seed, resumed)?;
+            control_side.layers.routes_are_agreed();
         }
+        control_side.follow_control()?;
         if let Some(folder) = &lasting
             && let Err(e) = link::start(&core, folder, &name)
         {
             log::warn!("link: {e}; going on without it");
         }
-        bus::follow(&feed, &core, bus);
-        let (serving, connected, followed) = (core.clone(), clients.clone(), feed.clone());
+        control_side.follow_bus(&sink, bus);
+        let (serving, connected, followed) = (core.clone(), clients.clone(), control_side.feed.clone());
         super::spawn(move || {
             // Where another process accepts already, there is no hurry: this one does once it is up to date.
             let began = Instant::now();
@@ -206,11 +194,11 @@
             let service: Arc<dyn Service> = serving;
             http::listen(&service, &listener, &clients);
         });
-        let timed = core.clone();
+        let (timed, ticked) = (core.clone(), control_side.clone());
         super::spawn(move || {
             for round in 0_u32.. {
                 may::coroutine::sleep(TICK);
-                timed.broker().tick(timed.clock.now());
+                ticked.tick();
                 if round.is_multiple_of(WATCH_EVERY) {
                     timed.watch();
                 }
@@ -225,7 +213,7 @@
         });
         log::info!("{name} serves at {listen}");
         let (shape, admin) = (Mutex::new(shape), operators_at);
-        Ok(Gateway { core, layers, feed, listen, admin, dns, shape, sockets, raft, shared })
+        Ok(Gateway { core, control_side, listen, admin, dns, shape, sockets, raft })
     }
 
     /// Takes in a configuration that has replaced the one before: its settings, the operators' file and the address
@@ -240,8 +228,12 @@
         let turned_down = |cause| ConfigError { key: "operators".into(), cause };
         let renewed = core.deployment().renewed(settings, names);
         let tune = |deployment: &Deployment| core.retune(deployment, self.sockets);
-        self.layers.renew(operators.map_err(turned_down)?, renewed, tune).map_err(turned_down)?;
-        bus::follow(&self.feed, core, bus);
+        self.control_side
+            .layers
+            .renew(operators.map_err(turned_down)?, renewed, tune)
+            .map_err(turned_down)?;
+        let sink: Arc<dyn EventSink> = core.clone();
+        self.control_side.follow_bus(&sink, bus);
         *shape = config.shape;
         log::info!("configuration read again: the settings are in force, and the event bus is {bus}");
         Ok(())
@@ -253,7 +245,7 @@
         while !stop.load(Ordering::SeqCst) {
             std::thread::sleep(LOOK_EVERY);
         }
-        self.shared.iter().for_each(|shared| shared.end());
+        self.control_side.leave_fleet();
         self.core.stop();
         while !self.core.finished() {
             std::thread::sleep(LOOK_EVERY);
--- a/src/net/identity.rs
+++ b/src/net/identity.rs
@@ -100,6 +100,8 @@
     /// One version at a time is brought into force.
     applying: Mutex<()>,
     feeding: AtomicBool,
+    /// The thread that watches files and asks issuers is to end.
+    stopping: AtomicBool,
     /// What the process before has handed over, for an authority that is made later.
     handed: Mutex<Option<Handover>>,
     logged: Mutex<HashMap<Reason, (Instant, u64)>>,
@@ -214,6 +216,7 @@
             stated: Mutex::new(Stated { version, ..Stated::of(&Operators::default()) }),
             applying: Mutex::default(),
             feeding: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
             handed: Mutex::default(),
             logged: Mutex::default(),
             requests: AtomicU64::new(0),
@@ -513,6 +516,11 @@
         }
     }
 
+    /// Files are not watched any more, nor issuers asked.
+    pub(super) fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
     /// Starts what keeps identity fed, once.
     fn feed(self: &Arc<Guard>) {
         if self.feeding.swap(true, Ordering::SeqCst) {
@@ -523,7 +531,7 @@
         let fed = thread.spawn(move || {
             let mut files = Watched::default();
             let (mut settled, mut tried) = (Instant::now(), Instant::now());
-            loop {
+            while !guard.stopping.load(Ordering::SeqCst) {
                 std::thread::sleep(LOOK_EVERY);
                 if guard.sealed() && tried.elapsed() >= AGAIN {
                     tried = Instant::now();
--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -8,6 +8,7 @@
 mod spend;
 pub mod wire;
 
+use super::Permit;
 use super::clock::Clock;
 use crate::interface::Allowance;
 use crate::metrics::Counted;
@@ -25,7 +26,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 use tracing_mutex::stdsync::{Mutex, MutexGuard};
@@ -108,6 +109,9 @@
     /// When the first worker has to look again.
     due: AtomicU64,
     work: Sender<Work>,
+    workers: usize,
+    /// Its threads are to end.
+    stopping: AtomicBool,
     random: AtomicU64,
 }
 
@@ -123,7 +127,7 @@
 }
 
 /// Starts the pool, where this gateway is one of the fleet's members. `listen`: where its datagrams come in, if that is
-/// not the address by which others know it.
+/// not the address by which others know it. `running` counts its threads.
 pub fn start(
     fleet: &Fleet,
     name: &str,
@@ -131,6 +135,7 @@
     clock: Clock,
     seed: u64,
     counted: Counted,
+    running: &Arc<AtomicUsize>,
 ) -> io::Result<Option<Started>> {
     let Some((at, me)) = fleet.members().find(|(_, member)| member.name == name) else {
         log::error!("fleet {:?} has no member {name:?}: this gateway shares nothing", fleet.name);
@@ -224,14 +229,22 @@
         counted,
         due: AtomicU64::new(now),
         work,
+        workers: fleet.workers,
+        stopping: AtomicBool::new(false),
         random: AtomicU64::new(seed),
     });
     let stack = |name: String| std::thread::Builder::new().name(name).stack_size(256 * 1024);
-    let hearing = shared.clone();
-    stack("shared-ear".into()).spawn(move || hearing.listen())?;
+    let (hearing, permit) = (shared.clone(), Permit::take(running, usize::MAX));
+    stack("shared-ear".into()).spawn(move || {
+        let _permit = permit;
+        hearing.listen();
+    })?;
     for worker in 0..fleet.workers {
-        let (shared, taken) = (shared.clone(), taken.clone());
-        stack(format!("shared-{worker}")).spawn(move || shared.run(&taken, worker == 0))?;
+        let (shared, taken, permit) = (shared.clone(), taken.clone(), Permit::take(running, usize::MAX));
+        stack(format!("shared-{worker}")).spawn(move || {
+            let _permit = permit;
+            shared.run(&taken, worker == 0);
+        })?;
     }
     log::info!("member {} of fleet {:?}, in region {:?}", me.member.0, fleet.name, own.name);
     Ok(Some(Started { budgets, shared }))
@@ -240,7 +253,7 @@
 impl Shared {
     fn listen(&self) {
         let mut bytes = [0; wire::LONGEST + 1];
-        loop {
+        while !self.stopping.load(Ordering::SeqCst) {
             match self.socket.recv_from(&mut bytes) {
                 Ok((length, from)) => {
                     self.counted.bytes("heard", length);
@@ -261,7 +274,7 @@
 
     /// A worker. The first one also does what is due.
     fn run(&self, taken: &Receiver<Work>, first: bool) {
-        loop {
+        while !self.stopping.load(Ordering::SeqCst) {
             let rest = if first {
                 let due = self.due.load(Ordering::SeqCst);
                 Duration::from_micros(due.saturating_sub(self.clock.now())).min(LONGEST_REST)
@@ -742,6 +755,19 @@
         let _ = self.work.try_send(Work::Leave);
     }
 
+    /// Has its threads end. What it holds lapses, unless it was given back before.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for _ in 0..self.workers {
+            // Full: none of them rests.
+            let _: Result<(), TrySendError<Work>> = self.work.try_send(Work::Wake);
+        }
+        // An empty datagram from itself wakes the thread that waits for one.
+        if let Err(e) = self.socket.local_addr().and_then(|own| self.socket.send_to(&[], own)) {
+            log::warn!("datagrams: {e}: a thread ends with the next that comes");
+        }
+    }
+
     fn leave(&self) {
         let now = self.clock.now();
         let mut homes = lock(&self.homes);
