--- /dev/null
+++ b/crates/feed/src/lease.rs
@@ -0,0 +1,73 @@
+//! The freshness lease: how long a subscriber may trust what it last heard.
+//!
+//! An answer proves that nothing had happened by the time it was asked for, less its age, but what the subscriber
+//! has in force. For a stated span from then on the subscriber may use its copies without restriction. After that it is
+//! *in doubt*: there may be purges that it has not heard of.
+
+use crate::Micros;
+
+/// A drift is told in thousandths; one of this or more means that a clock may stand still.
+const WHOLE: u32 = 1_000;
+
+/// A subscriber's freshness, on its own monotonic clock.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Lease {
+    as_of: Option<Micros>,
+    lasts: Micros,
+    drift: u32,
+}
+
+impl Lease {
+    /// A lease that has not begun. It `lasts` for so long of true time, and a clock may run fast or slow by `drift`
+    /// thousandths.
+    pub fn new(lasts: Micros, drift: u32) -> Lease {
+        Lease { as_of: None, lasts, drift }
+    }
+
+    /// All events up to `as_of` are in force. An earlier time than the one known changes nothing.
+    pub fn renew(&mut self, as_of: Micros) {
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    /// Whether there may be events that are not in force though they are older than the lease lasts; also before the
+    /// first answer.
+    pub fn in_doubt(&self, now: Micros) -> bool {
+        self.until().is_none_or(|until| now >= until)
+    }
+
+    /// From when on the subscriber is in doubt, unless it hears more.
+    pub fn until(&self) -> Option<Micros> {
+        self.as_of.map(|as_of| as_of.saturating_add(self.span()))
+    }
+
+    /// The time up to which all events are in force.
+    pub fn as_of(&self) -> Option<Micros> {
+        self.as_of
+    }
+
+    /// While in doubt: copies made before this time count as purged. It moves on with the time, as a copy made
+    /// after the lease's end may have been purged since as well.
+    pub fn floor(&self, now: Micros) -> Option<Micros> {
+        self.in_doubt(now).then(|| now.saturating_sub(self.span()))
+    }
+
+    /// The span on a clock that may be slow by the drift: never longer than the lease in true time.
+    fn span(&self) -> Micros {
+        scaled(self.lasts, WHOLE.saturating_sub(self.drift))
+    }
+}
+
+/// After how long, on a clock that may be fast by the drift, a lease given out has ended everywhere.
+pub fn surely_over(lasts: Micros, drift: u32) -> Micros {
+    scaled(lasts, WHOLE.saturating_add(drift)).saturating_add(1)
+}
+
+/// An age told by another clock, stretched by the drift.
+pub fn stretched_age(age: Micros, drift: u32) -> Micros {
+    scaled(age, WHOLE.saturating_add(drift)).saturating_add(1)
+}
+
+fn scaled(span: Micros, thousandths: u32) -> Micros {
+    let scaled = u128::from(span) * u128::from(thousandths) / u128::from(WHOLE);
+    Micros::try_from(scaled).unwrap_or(Micros::MAX)
+}
--- /dev/null
+++ b/crates/feed/src/slice.rs
@@ -0,0 +1,52 @@
+//! Parts of the hash space, by which old purges are folded: one floor for all that hashes into a slice.
+//!
+//! Sender and receiver must hash alike: the hash is part of the wire format. URLs and tags share one space, so that an
+//! object is under the floors of its URL's slice and of its tags' slices.
+
+/// Slices that a relay folds into.
+pub const SLICES: u32 = 4_096;
+
+/// The hash of a URL as it stands in a purge.
+pub fn url_hash(url: &str) -> u64 {
+    mixed(fnv(b'u', url.as_bytes()))
+}
+
+/// The hash of a tag.
+pub fn tag_hash(tag: u64) -> u64 {
+    mixed(fnv(b't', &tag.to_be_bytes()))
+}
+
+/// Which of `of` equal slices a hash falls into.
+pub fn slice_of(hash: u64, of: u32) -> u32 {
+    let scaled = (u128::from(hash) * u128::from(of)) >> 64;
+    u32::try_from(scaled).unwrap_or(u32::MAX)
+}
+
+/// Slice `slice` of `of` covers, wholly or in part, these slices of `into`. Empty where there is no such slice.
+pub fn covering(slice: u32, of: u32, into: u32) -> std::ops::Range<u32> {
+    if slice >= of {
+        return 0..0;
+    }
+    let start = u64::from(slice) * u64::from(into) / u64::from(of);
+    let end = (u64::from(slice) + 1) * u64::from(into);
+    let end = end.div_ceil(u64::from(of));
+    // Both are at most `into`.
+    start as u32..end as u32
+}
+
+/// 64 bits of FNV-1a over a byte for the kind, then the key.
+fn fnv(kind: u8, key: &[u8]) -> u64 {
+    const OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    std::iter::once(&kind).chain(key).fold(OFFSET_BASIS, step)
+}
+
+/// The finalizer of MurmurHash3: the upper bits, which choose the slice, depend on all bits.
+fn mixed(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ hash >> 33
+}
