--- /dev/null
+++ b/crates/operators/src/feed.rs
@@ -0,0 +1,85 @@
+//! The relays from which a gateway hears the bus's events, and how long it trusts what it has heard.
+
+use crate::check::{Read, span_text};
+use crate::fault::{Fault, Faults};
+use crate::item::Item;
+use sagearch_identity::Millis;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+/// Relays that one gateway may name.
+const MOST_RELAYS: usize = 64;
+/// The longest name of a relay, in bytes.
+const LONGEST_NAME: usize = 128;
+/// What a lease must leave beside two holds: ways on the network, and relays' own polls.
+const SLACK: Millis = 400;
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Feed {
+    /// In order of preference.
+    pub relays: Vec<Relay>,
+    /// So many of the first are asked in order, before the rest in an order of the gateway's own.
+    pub preferred: usize,
+    /// How long the gateway trusts what it has heard.
+    pub lease: Millis,
+    /// How long a relay holds a poll that nothing is new for.
+    pub hold: Millis,
+    /// Thousandths.
+    pub drift: u32,
+    /// Revalidations a second while the lease is over.
+    pub revalidate: u32,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Relay {
+    pub name: String,
+    pub address: SocketAddr,
+}
+
+fn relay(item: &Item) -> Result<Relay, Fault> {
+    let [Read::Text(name), Read::Address(address)] = &item.values()?[..] else { return Err(item.unknown()) };
+    if name.len() > LONGEST_NAME {
+        return Err(item.fault(format!("a relay's name has at most {LONGEST_NAME} bytes")));
+    }
+    Ok(Relay { name: name.clone(), address: *address })
+}
+
+fn relays(item: &Item, faults: &mut Faults) -> Vec<Relay> {
+    let (mut relays, mut names, mut addresses) = (Vec::new(), BTreeSet::new(), BTreeSet::new());
+    for child in item.children() {
+        let Some(read) = faults.keep(relay(child)) else { continue };
+        if !names.insert(read.name.clone()) || !addresses.insert(read.address) {
+            faults.push(child.fault(format!("relay {:?} or its address stands twice", read.name)));
+        }
+        relays.push(read);
+    }
+    relays
+}
+
+pub(crate) fn feed(item: &Item, faults: &mut Faults) -> Result<Feed, Fault> {
+    let relays = relays(item, faults);
+    // One that could not be read is not told as missing as well.
+    if item.children().is_empty() || relays.len() > MOST_RELAYS {
+        let cause = format!("{} relays: from 1 to {MOST_RELAYS} can be asked", relays.len());
+        return Err(item.fault(cause));
+    }
+    let (lease, hold) = (item.millis("lease")?, item.millis("hold")?);
+    let least = 2 * hold + SLACK;
+    if lease < least {
+        let property = if item.states("hold") { "hold" } else { "lease" };
+        let [hold, least, lease] = [hold, least, lease].map(span_text);
+        let cause = format!("a hold of {hold} needs a lease of {least} at least, and it is {lease}");
+        return Err(item.fault_at(property, cause));
+    }
+    Ok(Feed {
+        relays,
+        preferred: item.number("preferred")? as usize,
+        lease,
+        hold,
+        drift: item.number("drift")? as u32,
+        revalidate: item.number("revalidate")? as u32,
+    })
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod compare;
 pub mod control;
 pub mod fault;
+pub mod feed;
 pub mod files;
 pub mod fleet;
 pub mod format;
@@ -22,6 +23,7 @@
 pub use files::{Files, OneFile};
 
 use control::{Control, Limits};
+use feed::Feed;
 use fleet::Fleet;
 use fronts::{Dns, Raft, Routes};
 use identity::Identity;
@@ -63,6 +65,7 @@
     pub limits: Option<Limits>,
     pub control: Option<Control>,
     pub fleet: Option<Fleet>,
+    pub feed: Option<Feed>,
     /// Sets of keys by name, as JSON.
     pub key_sets: BTreeMap<String, String>,
 }
@@ -162,6 +165,7 @@
             "limits" => control::limits(item).map(|read| operators.limits = Some(read)),
             "control" => control::control(item).map(|read| operators.control = Some(read)),
             "fleet" => fleet::fleet(item, &mut faults).map(|read| operators.fleet = Some(read)),
+            "feed" => feed::feed(item, &mut faults).map(|read| operators.feed = Some(read)),
             "key-set" => control::key_set(item, files).and_then(|(name, set)| {
                 match operators.key_sets.insert(name.clone(), set) {
                     None => Ok(()),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -5,12 +5,12 @@
 //! ask the first cache, name the first parent as source, keep the copy at a rank set by the count.
 //! Everything else is an exception with a comment that names the trouble it guards against.
 
-use crate::average::{Pace, Recent, lower_median};
-use crate::counts::Counts;
+use crate::average::{Recent, lower_median};
+use crate::freshness::Freshness;
 use crate::hash::{self, mix};
 use crate::interface::*;
-use crate::state::{Attempt, Open, Peer};
-use serde::{Deserialize, Serialize};
+use crate::purges::{Purges, object_hash};
+use crate::state::{Attempt, Learned, Open, Peer};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Counts are halved this often (design page: 10 s).
@@ -95,28 +95,6 @@
 /// Kept between the last moment for an answer or an effect and the action, in ticks.
 const TICKS_SPARE: Micros = 2;
 
-/// What a router has learned of objects, classes and sources. A process that takes over goes on from it.
-#[derive(Clone, Default, Serialize, Deserialize)]
-pub struct Learned {
-    counts: Counts,
-    /// Mean sending time of each class in seconds, and requests seen.
-    pub(crate) mean_work: Vec<(f64, f64)>,
-    /// Share of requests of each rank that found no copy, and of uncacheable ones (0).
-    misses: [f64; 4],
-    /// What reports of caches, parents and origins said lately of their load.
-    usual_load: [f64; 3],
-    /// Hits at caches: how full the links are. All that was served: the rest of the time went into waiting.
-    hits: Pace,
-    served: Pace,
-    /// Seconds that a fill takes longer than its sending.
-    fill_extra: f64,
-    /// Wait of fills over what their requests could spare: of all, and of those that a source held.
-    fill_wait: [f64; 2],
-    tells_origin: bool,
-    /// Share of requests whose first answer did not come in time or at all.
-    lost: f64,
-}
-
 /// The decisions of one gateway.
 #[derive(Default)]
 pub struct Router {
@@ -134,8 +112,9 @@
     fill_seen: [Micros; 2],
     halve_at: Option<Micros>,
     open: BTreeMap<RequestId, Open>,
-    /// When objects (true, by hash) and groups (false) were last purged.
-    purges: BTreeMap<(bool, u64), Micros>,
+    /// When objects and groups were last purged.
+    purges: Purges,
+    pub(crate) freshness: Freshness,
     retries: f64,
     /// The same for what runs at the origin alone.
     origin_retries: f64,
@@ -182,6 +161,12 @@
         let id = match event {
             Event::Members { kind, members } => return self.list(kind, members),
             Event::Purged { object, group, ago } => return self.purged(object, group, ago),
+            Event::SlicePurged { slice, of, ago } => {
+                return self.purges.enter_slice(slice, of, self.now.saturating_sub(ago));
+            }
+            Event::Freshness { lease, revalidations } => {
+                return self.freshness.renew(self.now, lease, revalidations);
+            }
             Event::Streaming { .. } => return,
             Event::Request(asked) => self.request(asked, actions),
             Event::Outcome { request, attempt, outcome, detail, elapsed, finished, load, .. } => {
@@ -414,23 +399,19 @@
 
     fn purged(&mut self, object: Option<String>, group: Option<u64>, ago: Micros) {
         let at = self.now.saturating_sub(ago);
-        let key = match (object, group) {
-            (Some(object), _) => (true, hash::text(&object)),
-            (None, Some(group)) => (false, group),
-            (None, None) => return,
-        };
-        let last = self.purges.entry(key).or_insert(at);
-        *last = (*last).max(at);
-        let (done, now) = (self.settings.purge_takes * 2, self.now);
-        self.purges.retain(|_, at| now < *at + done);
+        self.purges.enter(self.now, object.as_deref(), group, at);
+        self.purges.drop_before(self.now.saturating_sub(self.purge_lasts()));
+    }
+
+    /// How long after a purge older copies may still be about.
+    fn purge_lasts(&self) -> Micros {
+        self.settings.purge_takes + 1_000_000
     }
 
     /// When the object was last purged, as long as older copies may still be about.
     fn last_purge(&self, open: &Open) -> Option<Micros> {
-        let object = self.purges.get(&(true, open.object));
-        let group = open.asked.purge_group.and_then(|group| self.purges.get(&(false, group)));
-        let last = object.copied().max(group.copied())?;
-        (self.now < last + self.settings.purge_takes + 1_000_000).then_some(last)
+        let last = self.purges.latest(open.object, open.asked.purge_group)?;
+        (self.now < last + self.purge_lasts()).then_some(last)
     }
 
     fn request(&mut self, asked: Request, actions: Actions) -> RequestId {
@@ -439,8 +420,8 @@
             actions.push(Action::Fail { request: id });
             return id;
         };
-        let object = hash::text(&asked.object);
-        let key = mix(object ^ mix(u64::from(asked.part)));
+        let object = object_hash(&asked.object);
+        let key = mix(hash::text(&asked.object) ^ mix(u64::from(asked.part)));
         let uncacheable = self.settings.classes[class].uncacheable;
         let rank = if uncacheable { 0 } else { self.count(key) };
         let pace = self.settings.pace_kb_per_s;
@@ -700,17 +681,27 @@
 
     fn fill_at(&mut self, id: RequestId, at: MemberId, source: Option<MemberId>, held: bool, to: Actions) {
         let open = &self.open[&id];
-        let purge = self.last_purge(open);
+        let known = self.last_purge(open);
+        // In doubt, what was made before the floor may have been purged unheard.
+        let doubt = self.freshness.floor(self.now).filter(|floor| known < Some(*floor));
+        let purge = known.max(doubt);
         let fresh = self.settings.classes[open.class].fresh;
         // Purges are kept: nothing older than the purge will do, here or at the source, and a fill
         // under way may have begun before it. The limit is never 0, which would mean any age.
         let limit = purge.map(|at| (self.now - at).saturating_sub(1_000).max(1));
         let max_age = limit.filter(|limit| fresh.is_none_or(|fresh| *limit < fresh));
+        // Doubt must not become a flood at the origin: a budget covers what may be fetched for it alone.
+        let revalidates = doubt.is_some() && max_age.is_some() && source.is_some() && !held;
+        if revalidates && !self.freshness.spend(self.now) {
+            return self.give_up(id, to);
+        }
         let join = self.settings.joins && purge.is_none();
         // Ageing copies are fetched anew behind the answer: a slow origin turns no popular hits into misses.
         let renew = fresh.is_some() && !held;
         let fill = Fill { source, keep: open.rank, max_age, join, held_only: held, renew };
         self.send(id, at, Some(fill), to);
+        let sent = self.open.get_mut(&id).and_then(|open| open.attempts.last_mut());
+        sent.into_iter().for_each(|attempt| attempt.revalidates = revalidates);
     }
 
     /// The first cache in hash order, unless it looks bad, is cold with its budget spent, or holds far more
@@ -852,6 +843,11 @@
             let source = self.peers.get_mut(&source).filter(|_| spared);
             source.into_iter().for_each(|source| source.due = 0);
         }
+        // What found its copy, or never ran, has cost the origin nothing.
+        let unspent = attempt.detail.hit() || !attempt.may_have_run();
+        if attempt.revalidates && unspent {
+            self.freshness.give_back();
+        }
         // The time of a check speaks of no fill.
         if !self.open[&id].asked.by_name {
             self.learn_waits(id, attempt);
--- a/src/broker.rs
+++ b/src/broker.rs
@@ -7,15 +7,15 @@
 //! fronts and the tests pass the time in, in microseconds of a monotonic clock.
 
 use crate::interface::*;
+use crate::purges::{Purges, object_hash};
 use crate::{Learned, Router};
+use sagearch_feed::lease::Lease;
 use sagearch_identity::Caller;
+use std::cell::Cell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::sync::Arc;
 
-/// Purges that are held against attempts picked before them but not yet written.
-const PURGES_KEPT: usize = 256;
-
 /// An attempt that the front is to carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Order {
@@ -57,6 +57,18 @@
     }
 }
 
+/// How fresh the feed is known to be, and what that has cost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FreshnessReport {
+    pub in_doubt: bool,
+    /// All events up to this time are in force.
+    pub as_of: Option<Micros>,
+    /// Attempts that were held back at their first byte.
+    pub held: u64,
+    /// Requests that were refused as no revalidation could be paid for.
+    pub refused: u64,
+}
+
 /// What follows an outcome.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Next {
@@ -96,8 +108,11 @@
     attempts: u32,
     /// One, or two where the settings allow second copies.
     out: Vec<Out>,
-    object: String,
+    /// By its hash.
+    object: u64,
     group: Option<u64>,
+    /// Its copies can be purged.
+    cached: bool,
     /// Repeats are dropped for so long after the first send that may have run.
     memory: Option<Micros>,
     first_run: Option<Micros>,
@@ -109,19 +124,18 @@
     }
 }
 
-struct Purge {
-    told: Micros,
-    object: Option<String>,
-    group: Option<u64>,
-}
-
 /// The decisions of one gateway, for any front.
 pub struct Broker<W> {
     router: Router,
     open: HashMap<RequestId, Entry<W>>,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
     states: BTreeMap<MemberId, MemberState>,
-    purges: VecDeque<Purge>,
+    /// When purges were told: held against attempts that were picked before and are not written yet.
+    purges: Purges,
+    /// The longest that a request may take: for so long an attempt may wait to be written.
+    longest_wait: Micros,
+    /// Attempts that were not written because the freshness lease had ended since they were picked.
+    held_in_doubt: Cell<u64>,
     /// Since when an operator has the gateway emptied.
     drained: Option<Micros>,
 }
@@ -133,7 +147,9 @@
             open: HashMap::new(),
             timers: BinaryHeap::new(),
             states: BTreeMap::new(),
-            purges: VecDeque::new(),
+            purges: Purges::default(),
+            longest_wait: 0,
+            held_in_doubt: Cell::new(0),
             drained: None,
         }
     }
@@ -202,14 +218,16 @@
         if self.open.contains_key(&id) {
             return Some(Verdict::Failed);
         }
-        let (object, group) = (request.object.clone(), request.purge_group);
+        let (object, group) = (object_hash(&request.object), request.purge_group);
+        self.longest_wait = self.longest_wait.max(request.budget);
         let class = request.class.and_then(|class| self.router.settings.classes.get(class));
         let memory = class.and_then(|class| match class.effect {
             Effect::Keyed { memory, .. } => Some(memory),
             _ => None,
         });
+        let cached = class.is_some_and(|class| !class.uncacheable);
         let (attempts, out, first_run) = (0, Vec::new(), None);
-        let entry = Entry { waiter, caller, attempts, out, object, group, memory, first_run };
+        let entry = Entry { waiter, caller, attempts, out, object, group, cached, memory, first_run };
         self.open.insert(id, entry);
         let verdict = self.drive(now, Event::Request(request));
         self.settle(now, id, verdict.as_ref());
@@ -284,14 +302,42 @@
 
     /// Takes in a purge of an object, or with no object of a group, made `ago` before now.
     pub fn purged(&mut self, now: Micros, object: Option<String>, group: Option<u64>, ago: Micros) {
-        self.purges.push_back(Purge { told: now, object: object.clone(), group });
-        if self.purges.len() > PURGES_KEPT {
-            self.purges.pop_front();
-        }
+        self.purges.enter(now, object.as_deref(), group, now);
+        self.purges.drop_before(now.saturating_sub(self.longest_wait));
         let mut actions = Vec::new();
         self.router.handle(now, Event::Purged { object, group, ago }, &mut actions);
     }
 
+    /// Takes in a purge of all objects and groups of slice `slice` of `of`, made `ago` before now.
+    pub fn slice_purged(&mut self, now: Micros, slice: u32, of: u32, ago: Micros) {
+        self.purges.enter_slice(slice, of, now);
+        self.router.handle(now, Event::SlicePurged { slice, of, ago }, &mut Vec::new());
+    }
+
+    /// Takes in the freshness lease as it stands. From the first call on the gateway is in doubt whenever it is over,
+    /// with so many revalidations a second.
+    pub fn renew_freshness(&mut self, now: Micros, lease: Lease, revalidations: u32) {
+        self.router.handle(now, Event::Freshness { lease, revalidations }, &mut Vec::new());
+    }
+
+    /// How fresh the feed is known to be; `None`: no lease is kept.
+    pub fn freshness(&self, now: Micros) -> Option<FreshnessReport> {
+        let freshness = &self.router.freshness;
+        let lease = freshness.lease()?;
+        let (held, refused) = (self.held_in_doubt.get(), freshness.refused());
+        Some(FreshnessReport { in_doubt: lease.in_doubt(now), as_of: lease.as_of(), held, refused })
+    }
+
+    /// Whether the lease under which an attempt was picked has ended: the age limit that it carries knows of no doubt.
+    fn lease_ended_since(&self, now: Micros, picked: Micros) -> bool {
+        let Some(lease) = self.router.freshness.lease().filter(|lease| lease.in_doubt(now)) else {
+            return false;
+        };
+        let ended = lease.until().is_some_and(|until| picked < until);
+        self.held_in_doubt.set(self.held_in_doubt.get() + u64::from(ended));
+        ended
+    }
+
     /// Whether a member may be given new work.
     pub fn serving(&self, member: MemberId) -> bool {
         self.states.get(&member) == Some(&MemberState::Serving) && !self.router.is_out(member)
@@ -299,17 +345,13 @@
 
     /// Asked again as an attempt's first byte is about to be written, which may be long after it was picked
     /// (a connection had to come up): its member and source still serve, its request is still open, no
-    /// purge has been told since that it does not know of, and a repeat is still known for one where it runs.
+    /// purge has been told since that it does not know of or may have been missed, and a repeat is still known for one
+    /// where it runs.
     pub fn may_send(&self, now: Micros, order: &Order) -> bool {
         let Some(entry) = self.open.get(&order.request) else { return false };
         let source = order.fill.and_then(|fill| fill.source);
-        let voided = |purge: &Purge| {
-            purge.told >= order.picked
-                && match &purge.object {
-                    Some(object) => *object == entry.object,
-                    None => purge.group.is_some() && purge.group == entry.group,
-                }
-        };
+        // One that was dropped is older than any attempt that is in time.
+        let purged = self.purges.latest(entry.object, entry.group).max(self.purges.dropped());
         let Some(place) = entry.place(order.attempt) else { return false };
         let forgotten = entry
             .memory
@@ -320,7 +362,8 @@
         paid && !forgotten
             && self.serving(order.member)
             && source.is_none_or(|source| self.serving(source))
-            && !self.purges.iter().rev().any(voided)
+            && purged < Some(order.picked)
+            && !(entry.cached && self.lease_ended_since(now, order.picked))
     }
 
     /// A request with a final verdict is no longer open.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! All times are microseconds. Points in time are on the gateway's own monotonic clock.
 
+use sagearch_feed::lease::Lease;
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 
@@ -303,6 +305,18 @@
         group: Option<u64>,
         ago: Micros,
     },
+    /// All objects and groups of a slice of the hash space count as purged `ago` before now.
+    SlicePurged {
+        slice: u32,
+        of: u32,
+        ago: Micros,
+    },
+    /// How fresh the feed is known to be, and how many revalidations a second are allowed while that is in doubt. Never
+    /// told, it is never in doubt.
+    Freshness {
+        lease: Lease,
+        revalidations: u32,
+    },
     /// The client has left; nothing more is owed.
     Abandoned {
         request: RequestId,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,15 +53,18 @@
 mod counts;
 pub mod events;
 pub mod files;
+mod freshness;
 mod hash;
 pub mod interface;
 pub mod issue;
 pub mod log;
 pub mod metrics;
 pub mod net;
+mod purges;
 pub mod settings;
 mod state;
 #[doc(hidden)]
 pub mod wire;
 
-pub use brain::{Learned, Router};
+pub use brain::Router;
+pub use state::Learned;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,31 @@
-//! What the router holds of each member and of each request while it is open. Decides nothing.
+//! What the router has learned, and holds of each member and of each request while it is open. Decides nothing.
 
-use crate::average::Average;
+use crate::average::{Average, Pace};
+use crate::counts::Counts;
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
+
+/// What a router has learned of objects, classes and sources. A process that takes over goes on from it.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub struct Learned {
+    pub(crate) counts: Counts,
+    /// Mean sending time of each class in seconds, and requests seen.
+    pub(crate) mean_work: Vec<(f64, f64)>,
+    /// Share of requests of each rank that found no copy, and of uncacheable ones (0).
+    pub(crate) misses: [f64; 4],
+    /// What reports of caches, parents and origins said lately of their load.
+    pub(crate) usual_load: [f64; 3],
+    /// Hits at caches: how full the links are. All that was served: the rest of the time went into waiting.
+    pub(crate) hits: Pace,
+    pub(crate) served: Pace,
+    /// Seconds that a fill takes longer than its sending.
+    pub(crate) fill_extra: f64,
+    /// Wait of fills over what their requests could spare: of all, and of those that a source held.
+    pub(crate) fill_wait: [f64; 2],
+    pub(crate) tells_origin: bool,
+    /// Share of requests whose first answer did not come in time or at all.
+    pub(crate) lost: f64,
+}
 
 #[derive(Clone, Copy, Default)]
 pub struct Health {
@@ -43,6 +67,8 @@
     pub looked: bool,
     /// The source is another cache of the location, which gives only what it holds.
     pub aside: bool,
+    /// It was paid from the budget of revalidations.
+    pub revalidates: bool,
     pub likely: f64,
     pub sent: Micros,
     pub again_at: Option<Micros>,
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -104,5 +104,7 @@
     assert!(from("128.0.0.1").is_none() && from("::1").is_none());
     let identity = all.identity.unwrap();
     assert_eq!((identity.settings.issuers.len(), identity.settings.tenants.len()), (2, 2));
+    let feed = all.feed.unwrap();
+    assert_eq!((feed.relays.len(), feed.lease, feed.revalidate), (2, 1_700, 20));
     assert_eq!(all.tls.unwrap().clients.unwrap().asks, Asks::Optional);
 }
