--- a/src/events.rs
+++ b/src/events.rs
@@ -76,6 +76,11 @@
     pub tag: Option<u64>,
     #[serde(default)]
     pub ts: u64,
+    /// Part `slice` of `of` equal parts of the hash space: older purges that were folded together.
+    #[serde(default)]
+    pub slice: Option<u32>,
+    #[serde(default)]
+    pub of: Option<u32>,
 }
 
 /// The number under which a store's name is known here, the same at every gateway.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,6 +14,7 @@
 use sagearch_identity::keyring::State;
 use sagearch_identity::{Caller, Proof, Reason};
 use std::collections::HashSet;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -89,6 +90,28 @@
     pub failed_calls: Counter,
     /// Events that were brought into force.
     pub events: Counter,
+    pub doubt: DoubtCounters,
+}
+
+/// What came of freshness leases that ended.
+#[derive(Clone, Debug, Default)]
+pub struct DoubtCounters {
+    pub times: Counter,
+    pub seconds: Counter<f64, AtomicU64>,
+    /// Attempts that were held back at their first byte.
+    pub held: Counter,
+    /// Requests that were refused as no revalidation could be paid for.
+    pub refused: Counter,
+}
+
+impl DoubtCounters {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("feed_doubts", "Times that the freshness lease ended", self.times.clone());
+        registry.register("feed_doubt_seconds", "Time in doubt", self.seconds.clone());
+        registry.register("feed_doubt_held", "Attempts held back at their first byte", self.held.clone());
+        let text = "Requests refused as no revalidation could be paid for";
+        registry.register("feed_doubt_refused", text, self.refused.clone());
+    }
 }
 
 impl FeedCounters {
@@ -106,6 +129,7 @@
             self.failed_calls.clone(),
         );
         registry.register("feed_events", "Events of the feed brought into force", self.events.clone());
+        self.doubt.register(registry);
     }
 }
 
--- a/src/net/bus.rs
+++ b/src/net/bus.rs
@@ -1,14 +1,13 @@
 //! The event bus: lists of stores and purges, by long poll.
 
 use super::event_sink::EventSink;
+use super::long_poll::{Connection, OpenSocket, answer, bad};
 use super::{Permit, lock};
 use crate::events::Batch;
 use crate::metrics::FeedCounters;
-use may::net::TcpStream;
 use rand::{RngExt, SeedableRng};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::os::fd::{AsRawFd, RawFd};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -19,102 +18,9 @@
 /// Silent for so long beyond that, it is called anew, up to as much again later: all gateways fall silent in the same
 /// instant, and must not all come back in one.
 const SILENT_FOR_MS: u64 = 300;
-const CONNECT: Duration = Duration::from_millis(400);
 /// A bus that can't be reached is called again after about this, and after twice as long each time up to the longest.
 const AGAIN_MS: u64 = 20;
 const AGAIN_LONGEST_MS: u64 = 200;
-/// A list of hundreds of stores fits well.
-const LARGEST: usize = 4 * 1024 * 1024;
-
-/// What a poll's answer begins with: where its body starts, and how long that is if told.
-#[derive(Debug, PartialEq)]
-struct Head {
-    status: u16,
-    body: usize,
-    length: Option<usize>,
-    chunked: bool,
-    keep: bool,
-}
-
-fn head(bytes: &[u8]) -> Result<Option<Head>, httparse::Error> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut response = httparse::Response::new(&mut headers);
-    let httparse::Status::Complete(body) = response.parse(bytes)? else { return Ok(None) };
-    let mut head = Head {
-        status: response.code.unwrap_or(0),
-        body,
-        length: None,
-        chunked: false,
-        keep: response.version == Some(1),
-    };
-    for header in response.headers.iter() {
-        let value = String::from_utf8_lossy(header.value).trim().to_ascii_lowercase();
-        match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => head.length = value.parse().ok(),
-            "transfer-encoding" => head.chunked = value.contains("chunked"),
-            "connection" => head.keep = head.keep && !value.contains("close"),
-            _ => {}
-        }
-    }
-    Ok(Some(head))
-}
-
-/// Joins a chunked body. `None`: it is not whole yet.
-fn unchunk(mut bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, httparse::InvalidChunkSize> {
-    let (mut joined, whole) = (Vec::new(), bytes.len());
-    loop {
-        let httparse::Status::Complete((start, size)) = httparse::parse_chunk_size(bytes)? else {
-            return Ok(None);
-        };
-        let size =
-            usize::try_from(size).ok().filter(|size| *size <= LARGEST).ok_or(httparse::InvalidChunkSize)?;
-        if bytes.len() < start + size + 2 {
-            return Ok(None);
-        }
-        joined.extend_from_slice(&bytes[start..start + size]);
-        bytes = &bytes[start + size + 2..];
-        if size == 0 {
-            return Ok(Some((joined, whole - bytes.len())));
-        }
-    }
-}
-
-fn bad(cause: impl ToString) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, cause.to_string())
-}
-
-/// Reads one answer; `buffer` keeps what came after it.
-fn answer(stream: &mut impl Read, buffer: &mut Vec<u8>) -> io::Result<(Vec<u8>, bool)> {
-    let mut piece = vec![0; 16 * 1024];
-    let mut ended = false;
-    loop {
-        if let Some(head) = head(buffer).map_err(bad)? {
-            let rest = &buffer[head.body..];
-            let body = match head.length {
-                _ if head.chunked => unchunk(rest).map_err(bad)?,
-                Some(length) => (rest.len() >= length).then(|| (rest[..length].to_vec(), length)),
-                None => ended.then(|| (rest.to_vec(), rest.len())),
-            };
-            if let Some((body, used)) = body {
-                buffer.drain(..head.body + used);
-                if head.status != 200 {
-                    return Err(bad(format!("status {}", head.status)));
-                }
-                return Ok((body, head.keep && !ended));
-            }
-        }
-        if ended {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        if buffer.len() > LARGEST {
-            return Err(bad("answer too large"));
-        }
-        let read = stream.read(&mut piece)?;
-        buffer.extend_from_slice(&piece[..read]);
-        ended = read == 0;
-    }
-}
-
 /// Pauses between calls, spread so that the calls of many gateways are.
 struct Pauses {
     random: rand::rngs::SmallRng,
@@ -138,15 +44,6 @@
     }
 }
 
-fn connect(at: SocketAddr, silent: Duration) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect_timeout(&at, CONNECT)?;
-    stream.set_nodelay(true)?;
-    // A bus that has gone silent is called anew: what it has to tell counts as told all the same.
-    stream.set_read_timeout(Some(silent))?;
-    stream.set_write_timeout(Some(silent))?;
-    Ok(stream)
-}
-
 /// How far the bus has been followed. One follower polls at a time; a second one comes with a new address.
 #[derive(Default)]
 pub struct Feed {
@@ -156,11 +53,11 @@
     follower: AtomicU64,
     /// A poll has been answered.
     answered: AtomicBool,
-    /// Nothing is followed any more, and no event applied.
-    stopped: AtomicBool,
-    /// The socket of the connection that is open. Whoever closes it takes it out first.
-    socket: Mutex<Option<RawFd>>,
-    counters: FeedCounters,
+    /// The connection that is open. Once it is shut, nothing is followed any more, and no event applied.
+    socket: Arc<OpenSocket>,
+    pub(super) counters: FeedCounters,
+    /// What the last call has failed for; `None`: it was answered.
+    trouble: Mutex<Option<String>>,
 }
 
 impl Feed {
@@ -170,15 +67,47 @@
 
     /// Ends the follower and shuts its connection, so that it waits for no answer.
     pub fn stop(&self) {
-        self.stopped.store(true, Ordering::SeqCst);
-        if let Some(socket) = *lock(&self.socket) {
-            // SAFETY: the descriptor is open, as it is taken out under this lock before it is closed.
-            unsafe { libc::shutdown(socket, libc::SHUT_RDWR) };
+        self.socket.shut();
+    }
+
+    pub(super) fn stopped(&self) -> bool {
+        self.socket.is_shut()
+    }
+
+    /// A connection that counts what goes over it, and ends with the feed.
+    pub(super) fn connect(&self, at: SocketAddr, within: Duration) -> io::Result<Connection> {
+        Connection::open(&self.socket, &self.counters, at, within)
+    }
+
+    /// Brings a batch into force. `false`: nothing is applied any more.
+    pub(super) fn bring_into_force(&self, sink: &dyn EventSink, batch: Batch) -> bool {
+        let mut last = lock(&self.last);
+        if self.stopped() {
+            return false;
         }
+        *last = batch.offset;
+        self.apply(sink, batch);
+        true
+    }
+
+    fn apply(&self, sink: &dyn EventSink, batch: Batch) {
+        self.counters.events.inc_by(batch.batch.len() as u64);
+        sink.apply(batch);
+    }
+
+    /// Notes why the last call has failed, or that it has not.
+    pub(super) fn note_trouble(&self, cause: Option<String>) {
+        *lock(&self.trouble) = cause;
+    }
+
+    /// Why nothing new comes, as far as that is known.
+    pub(super) fn trouble(&self) -> String {
+        lock(&self.trouble).clone().unwrap_or_else(|| "no answer has come in time".into())
     }
 
-    fn stopped(&self) -> bool {
-        self.stopped.load(Ordering::SeqCst)
+    /// The feed has told what it had to tell at the start.
+    pub(super) fn has_caught_up(&self) {
+        self.answered.store(true, Ordering::SeqCst);
     }
 
     /// Whether the bus has told what it had to tell at the start.
@@ -196,56 +125,7 @@
     }
     let batch = batch.after(*last);
     *last = batch.offset.max(*last);
-    feed.counters.events.inc_by(batch.batch.len() as u64);
-    sink.apply(batch);
-}
-
-/// A connection to the bus, whose bytes are counted.
-struct Connection {
-    stream: TcpStream,
-    feed: Arc<Feed>,
-}
-
-impl Connection {
-    fn open(feed: &Arc<Feed>, at: SocketAddr, silent: Duration) -> io::Result<Connection> {
-        let connection = Connection { stream: connect(at, silent)?, feed: feed.clone() };
-        *lock(&feed.socket) = Some(connection.stream.as_raw_fd());
-        // Or who stops the feed just now would not see this connection.
-        if feed.stopped() {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
-        Ok(connection)
-    }
-}
-
-impl Read for Connection {
-    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
-        let read = self.stream.read(to)?;
-        self.feed.counters.bytes_received.inc_by(read as u64);
-        Ok(read)
-    }
-}
-
-impl Write for Connection {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        let written = self.stream.write(bytes)?;
-        self.feed.counters.bytes_sent.inc_by(written as u64);
-        Ok(written)
-    }
-
-    fn flush(&mut self) -> io::Result<()> {
-        self.stream.flush()
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        let mut socket = lock(&self.feed.socket);
-        // A later follower may have one of its own.
-        if *socket == Some(self.stream.as_raw_fd()) {
-            *socket = None;
-        }
-    }
+    feed.apply(sink, batch);
 }
 
 /// Follows the bus at an address, from the last event on, in place of the follower before. That one still
@@ -260,7 +140,7 @@
 }
 
 /// Polls and hands every event on. A lost connection is opened again at once.
-fn poll(feed: &Arc<Feed>, sink: &dyn EventSink, at: SocketAddr, number: u64) {
+fn poll(feed: &Feed, sink: &dyn EventSink, at: SocketAddr, number: u64) {
     let mut line: Option<(Connection, Vec<u8>)> = None;
     let mut told = false;
     let mut pauses = Pauses::new(feed.seed ^ number);
@@ -270,7 +150,7 @@
         let mut poll = || -> io::Result<Batch> {
             let (mut stream, mut buffer) = match line.take() {
                 Some(line) => line,
-                None => (Connection::open(feed, at, pauses.silent())?, Vec::new()),
+                None => (feed.connect(at, pauses.silent())?, Vec::new()),
             };
             // The first word is wanted at once, also where it is that there is nothing new.
             let hold = if feed.caught_up() { HOLD_MS } else { 0 };
@@ -290,7 +170,7 @@
                 pauses.failed = 0;
                 feed.counters.answers.inc();
                 take(feed, sink, batch);
-                feed.answered.store(true, Ordering::SeqCst);
+                feed.has_caught_up();
             }
             Err(_) if feed.stopped() => return,
             Err(e) => {
--- a/src/net/bus/tests.rs
+++ b/src/net/bus/tests.rs
@@ -1,44 +1,6 @@
 use super::*;
 use rstest::rstest;
 
-#[rstest]
-#[case::length("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiX", "hi", true, 1)]
-#[case::chunked(
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n",
-    "hi",
-    true,
-    0
-)]
-#[case::to_the_end("HTTP/1.0 200 OK\r\n\r\nhi", "hi", false, 0)]
-#[case::closes("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", "hi", false, 0)]
-fn answers_are_read_whole_in_single_bytes(
-    #[case] text: &str,
-    #[case] body: &str,
-    #[case] keep: bool,
-    #[case] left: usize,
-) {
-    struct Slow<'a>(&'a [u8]);
-    impl Read for Slow<'_> {
-        fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
-            let Some((first, rest)) = self.0.split_first() else { return Ok(0) };
-            (to[0], self.0) = (*first, rest);
-            Ok(1)
-        }
-    }
-    let mut stream = Slow(text.as_bytes());
-    let got = answer(&mut stream, &mut Vec::new()).unwrap();
-    assert_eq!((String::from_utf8(got.0).unwrap().as_str(), got.1, stream.0.len()), (body, keep, left));
-}
-
-#[rstest]
-#[case::status("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")]
-#[case::torn("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi")]
-#[case::no_http("yes\r\n\r\n")]
-#[case::huge_chunk("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffff\r\n")]
-fn bad_answers_are_errors(#[case] text: &str) {
-    assert!(answer(&mut text.as_bytes(), &mut Vec::new()).is_err());
-}
-
 /// All gateways lose the bus in the same instant, by a refusal or by silence. At no time does a large part of them call at
 /// once, and none calls late.
 #[rstest]
--- a/src/net/control_side.rs
+++ b/src/net/control_side.rs
@@ -7,11 +7,12 @@
 use super::bus::{self, Feed};
 use super::clock::Clock;
 use super::core::Mailbox;
+use super::doubt::DoubtWatch;
 use super::event_sink::{BrokerEvents, EventSink};
 use super::identity::Guard;
 use super::layers::Layers;
 use super::shared::{self, Shared};
-use super::{Permit, control, lock};
+use super::{Permit, control, feed, lock};
 use crate::broker::Broker;
 use crate::events::Batch;
 use crate::interface::Settings;
@@ -57,6 +58,7 @@
     broker: Arc<Mutex<Broker<Mailbox>>>,
     events: Arc<BrokerEvents>,
     shared: Option<Arc<Shared>>,
+    doubt: Mutex<DoubtWatch>,
     name: String,
     seed: u64,
     instance: u64,
@@ -107,6 +109,7 @@
             broker,
             events,
             shared: None,
+            doubt: Mutex::default(),
             name,
             seed,
             instance,
@@ -114,6 +117,11 @@
             stopping: Arc::default(),
             running: Arc::default(),
         };
+        if let Some(stated) = &control_side.operators.feed {
+            // In doubt from the beginning: before anything answers.
+            let (lease, revalidations) = (feed::first_lease(stated), stated.revalidate);
+            control_side.broker().renew_freshness(clock.now(), lease, revalidations);
+        }
         if joins_fleet {
             control_side.join_fleet(peer_listen)?;
         }
@@ -153,7 +161,16 @@
 
     /// Has the broker do what has come due; shared budgets ask for more by it. Fronts do so every 2 ms.
     pub fn tick(&self) {
-        self.broker().tick(self.clock.now());
+        let now = self.clock.now();
+        let report = {
+            let mut broker = self.broker();
+            broker.tick(now);
+            if self.operators.feed.is_some() { broker.freshness(now) } else { None }
+        };
+        if let Some(report) = report {
+            let counters = &self.counters().doubt;
+            lock(&self.doubt).look(now, &report, || self.feed.trouble(), counters);
+        }
     }
 
     /// Follows the control services that the operators' file names.
@@ -173,10 +190,28 @@
         control::follow(following, self.stopping.clone(), running)
     }
 
-    /// Follows the bus at an address, in place of the one before.
+    /// Follows the relays that the operators' file names, or else the bus at an address.
     pub(super) fn follow_bus(&self, sink: &Arc<dyn EventSink>, at: SocketAddr) {
         let Some(running) = self.permit() else { return };
-        bus::follow(&self.feed, sink, at, running);
+        let Some(stated) = self.operators.feed.clone() else {
+            return bus::follow(&self.feed, sink, at, running);
+        };
+        let following = feed::Following {
+            feed: self.feed.clone(),
+            sink: sink.clone(),
+            clock: self.clock,
+            name: self.name.clone(),
+            seed: self.seed,
+            stated,
+        };
+        feed::follow(following, running);
+    }
+
+    /// The bus has another address: it is followed there from the last event on. Relays stay those of the start.
+    pub(super) fn bus_moved(&self, sink: &Arc<dyn EventSink>, at: SocketAddr) {
+        if self.operators.feed.is_none() {
+            self.follow_bus(sink, at);
+        }
     }
 
     fn permit(&self) -> Option<Permit> {
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -13,6 +13,7 @@
 use crate::interface::*;
 use crate::settings::{Connections, Deployment};
 use may::sync::mpsc;
+use sagearch_feed::lease::Lease;
 use sagearch_identity::Caller;
 use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, VecDeque};
@@ -326,8 +327,8 @@
         self.events.apply_to(&*self.stores, batch);
     }
 
-    fn renew_freshness(&self, as_of: Micros, lasts: Micros) {
-        self.events.renew_freshness(as_of, lasts);
+    fn renew_freshness(&self, lease: Lease, revalidations: u32) {
+        self.events.renew_freshness(lease, revalidations);
     }
 
     /// All that the gateway knows comes by the feed's connection: an idle client makes way for it.
--- a/src/net/event_sink.rs
+++ b/src/net/event_sink.rs
@@ -6,7 +6,8 @@
 use super::lock;
 use crate::broker::Broker;
 use crate::events::{self, Ban, Batch, Event, Instance, Topology, list_kind};
-use crate::interface::{ListKind, Member, Micros};
+use crate::interface::{ListKind, Member};
+use sagearch_feed::lease::Lease;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -15,9 +16,9 @@
     /// Brings events into force: they are when this returns.
     fn apply(&self, batch: Batch);
 
-    /// Every event told before `as_of` is in force, which counts as fresh for `lasts`. Only called where a freshness
-    /// lease is kept.
-    fn renew_freshness(&self, as_of: Micros, lasts: Micros);
+    /// Takes in the freshness lease as it stands once events are in force, and how many revalidations a second are
+    /// allowed while it is over. Only called where relays are asked.
+    fn renew_freshness(&self, lease: Lease, revalidations: u32);
 
     /// A call failed for want of descriptors.
     fn out_of_descriptors(&self);
@@ -90,8 +91,12 @@
     }
 
     fn purge(&self, ban: Ban) {
-        log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
         let ago = self.clock.ago(ban.ts);
+        if let (Some(slice), Some(of)) = (ban.slice, ban.of) {
+            log::debug!("purge of slice {slice} of {of}");
+            return lock(&self.broker).slice_purged(self.clock.now(), slice, of, ago);
+        }
+        log::debug!("purge of {:?} {:?}", ban.url, ban.tag);
         lock(&self.broker).purged(self.clock.now(), ban.url, ban.tag, ago);
     }
 }
@@ -102,7 +107,9 @@
         self.apply_to(&NoStores, batch);
     }
 
-    fn renew_freshness(&self, _: Micros, _: Micros) {}
+    fn renew_freshness(&self, lease: Lease, revalidations: u32) {
+        lock(&self.broker).renew_freshness(self.clock.now(), lease, revalidations);
+    }
 
     fn out_of_descriptors(&self) {}
 }
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -233,7 +233,7 @@
             .renew(operators.map_err(turned_down)?, renewed, tune)
             .map_err(turned_down)?;
         let sink: Arc<dyn EventSink> = core.clone();
-        self.control_side.follow_bus(&sink, bus);
+        self.control_side.bus_moved(&sink, bus);
         *shape = config.shape;
         log::info!("configuration read again: the settings are in force, and the event bus is {bus}");
         Ok(())
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use sagearch::broker::{Broker, Ended, Next, Order, Verdict, Waiter};
 use sagearch::interface::*;
+use sagearch_feed::lease::Lease;
 use sagearch_identity::Caller;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -120,6 +121,120 @@
     assert!(!broker.may_send(3 * MS, &order), "its source drains");
 }
 
+/// Each of thousands of purges counts against an attempt that waits for its connection.
+#[test]
+fn a_burst_of_purges_forgets_none_that_an_attempt_may_have_missed() {
+    for (object, group) in [(Some("a".to_string()), None), (None, Some(7))] {
+        let mut broker = broker();
+        let asked = |id, object: &str| Request {
+            object: object.into(),
+            purge_group: Some(if object == "a" { 7 } else { 8 }),
+            ..request(id, 0)
+        };
+        let waits = attempt(broker.pick(0, asked(1, "a"), Caller::anonymous(), Told::default()));
+        let other = attempt(broker.pick(0, asked(2, "b"), Caller::anonymous(), Told::default()));
+        broker.purged(MS, object, group, 0);
+        for number in 0..5_000 {
+            broker.purged(MS + number * SECOND / 5_000, Some(format!("o{number}")), None, 0);
+        }
+        assert!(!broker.may_send(SECOND + MS, &waits));
+        assert!(broker.may_send(SECOND + MS, &other), "what was not purged is written");
+    }
+}
+
+/// More than the table holds: what does not fit voids more, never less.
+#[test]
+fn a_flood_of_purges_holds_back_too_much_rather_than_too_little() {
+    let mut broker = broker();
+    let waits = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), Told::default()));
+    broker.purged(MS, Some("a".into()), None, 0);
+    (0..100_000).for_each(|number| broker.purged(2 * MS, Some(format!("o{number}")), None, 0));
+    assert!(!broker.may_send(3 * MS, &waits));
+}
+
+const LASTS: Micros = 1_700 * MS;
+
+fn lease(as_of: Option<Micros>) -> Lease {
+    let mut lease = Lease::new(LASTS, 0);
+    as_of.into_iter().for_each(|as_of| lease.renew(as_of));
+    lease
+}
+
+fn limit(order: &Order) -> Option<Micros> {
+    order.fill.and_then(|fill| fill.max_age)
+}
+
+#[test]
+fn in_doubt_copies_from_before_a_moving_floor_will_not_do() {
+    let mut broker = broker();
+    broker.renew_freshness(0, lease(None), 1_000);
+    let mut limit_at = |broker: &mut Broker<Told>, now, id| {
+        limit(&attempt(broker.pick(now, request(id, 0), Caller::anonymous(), Told::default())))
+    };
+    assert_eq!(limit_at(&mut broker, 0, 1), Some(1), "nothing has been heard yet");
+    broker.renew_freshness(0, lease(Some(0)), 1_000);
+    assert_eq!(limit_at(&mut broker, LASTS - 1, 2), None);
+    for late in [0, SECOND, 60 * SECOND] {
+        let now = LASTS + late;
+        assert_eq!(limit_at(&mut broker, now, 10 + late), Some(LASTS - MS));
+        assert!(broker.freshness(now).unwrap().in_doubt);
+    }
+    // A purge that is younger than the floor limits more.
+    broker.purged(90 * SECOND, Some("a".into()), None, 0);
+    assert_eq!(limit_at(&mut broker, 91 * SECOND, 4), Some(SECOND - MS));
+    broker.renew_freshness(100 * SECOND, lease(Some(100 * SECOND)), 1_000);
+    assert_eq!(limit_at(&mut broker, 101 * SECOND, 5), None);
+}
+
+#[test]
+fn an_attempt_of_before_doubt_is_not_written_in_doubt() {
+    let mut broker = broker();
+    broker.renew_freshness(0, lease(Some(0)), 1_000);
+    let pick = |broker: &mut Broker<Told>, now, id, class| {
+        attempt(broker.pick(now, request(id, class), Caller::anonymous(), Told::default()))
+    };
+    let before = pick(&mut broker, SECOND, 1, 0);
+    let origin = pick(&mut broker, SECOND, 2, 2);
+    assert!(broker.may_send(LASTS - 1, &before));
+    assert!(!broker.may_send(LASTS, &before));
+    assert!(broker.may_send(LASTS, &origin), "what is not kept can't be purged");
+    let within = pick(&mut broker, LASTS, 3, 0);
+    assert!(broker.may_send(LASTS + SECOND, &within), "it carries the limit");
+    assert_eq!(broker.freshness(LASTS).unwrap().held, 1);
+    // Events heard since are in force, and held against it one by one.
+    broker.renew_freshness(LASTS, lease(Some(LASTS)), 1_000);
+    assert!(broker.may_send(LASTS + 1, &before));
+}
+
+#[test]
+fn revalidations_in_doubt_are_paid_from_a_rate_and_hits_are_given_back() {
+    let mut broker = broker();
+    let refused = |verdict: &Option<Verdict>| matches!(verdict, Some(Verdict::Refused { backoff: Some(_) }));
+    broker.renew_freshness(0, lease(None), 3);
+    let pick = |broker: &mut Broker<Told>, now, id, class| {
+        broker.pick(now, request(id, class), Caller::anonymous(), Told::default())
+    };
+    let paid: Vec<Order> = (1..=3).map(|id| attempt(pick(&mut broker, MS, id, 0))).collect();
+    assert!(refused(&pick(&mut broker, MS, 4, 0)));
+    attempt(pick(&mut broker, MS, 5, 2));
+    let hit = Ended { detail: Detail::Hit, ..Outcome::Served.into() };
+    broker.report(2 * MS, paid[0].request, paid[0].attempt, hit);
+    attempt(pick(&mut broker, 2 * MS, 6, 0));
+    let filled = Ended { detail: Detail::FilledByOrigin, ..Outcome::Served.into() };
+    broker.report(3 * MS, paid[1].request, paid[1].attempt, filled);
+    assert!(refused(&pick(&mut broker, 3 * MS, 7, 0)));
+    attempt(pick(&mut broker, 400 * MS, 8, 0));
+    assert_eq!(broker.freshness(400 * MS).unwrap().refused, 2);
+}
+
+#[test]
+fn without_a_lease_there_is_no_doubt() {
+    let mut broker = broker();
+    let order = attempt(broker.pick(60 * SECOND, request(1, 0), Caller::anonymous(), Told::default()));
+    assert_eq!((limit(&order), broker.freshness(u64::MAX)), (None, None));
+    assert!(broker.may_send(62 * SECOND, &order));
+}
+
 #[test]
 fn a_checked_member_that_left_meanwhile_is_passed_by() {
     let mut broker = broker();
