--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod lease;
 pub mod message;
+pub mod relay;
 pub mod slice;
 pub mod subscription;
 
--- /dev/null
+++ b/crates/feed/src/relay/log.rs
@@ -0,0 +1,106 @@
+//! The events that a relay can still tell one by one, encoded as they go on the wire.
+
+use crate::message::RawEvent;
+use std::collections::VecDeque;
+
+/// The log's largest size, besides its number of events.
+const LOG_BYTES: usize = 4 * 1024 * 1024;
+/// An answer ends after about this; the rest comes with the next one.
+const ANSWER_BYTES: usize = 1024 * 1024;
+
+#[derive(Debug)]
+struct Entry {
+    offset: u64,
+    json: Box<str>,
+}
+
+/// Events in the order of their offsets, the latest ones.
+#[derive(Debug)]
+pub struct Log {
+    /// The log holds all events after this one.
+    base: u64,
+    last: u64,
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    room: usize,
+}
+
+/// Events joined as the inside of a JSON array.
+pub struct Batch {
+    /// The last event in it; less than the log's last where it had to be cut.
+    pub offset: u64,
+    pub events: String,
+}
+
+impl Log {
+    pub fn new(room: usize) -> Log {
+        Log { base: 0, last: 0, entries: VecDeque::new(), bytes: 0, room }
+    }
+
+    /// The last event known.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    pub fn base(&self) -> u64 {
+        self.base
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn push(&mut self, event: &RawEvent) -> serde_json::Result<()> {
+        let json = serde_json::to_string(event)?.into_boxed_str();
+        self.bytes += json.len();
+        self.last = self.last.max(event.offset);
+        self.entries.push_back(Entry { offset: event.offset, json });
+        while self.entries.len() > self.room || self.bytes > LOG_BYTES {
+            self.evict();
+        }
+        Ok(())
+    }
+
+    /// Numbers up to here are used, also where there were no events for them.
+    pub fn advance(&mut self, offset: u64) {
+        self.last = self.last.max(offset);
+    }
+
+    /// What was before can't be told one by one any more.
+    pub fn reset(&mut self, offset: u64) {
+        self.entries.clear();
+        self.bytes = 0;
+        self.base = offset;
+        self.last = offset;
+    }
+
+    /// Whether all events after this one are here.
+    pub fn reaches(&self, from: u64) -> bool {
+        from >= self.base
+    }
+
+    pub fn after(&self, from: u64) -> Batch {
+        let start = self.entries.partition_point(|entry| entry.offset <= from);
+        let mut events = String::new();
+        let mut offset = from;
+        for entry in self.entries.range(start..) {
+            // Events of one offset stay together: who has a part of them would count as having all.
+            if events.len() > ANSWER_BYTES && entry.offset > offset {
+                return Batch { offset, events };
+            }
+            if !events.is_empty() {
+                events.push(',');
+            }
+            events += &entry.json;
+            offset = entry.offset;
+        }
+        Batch { offset: self.last, events }
+    }
+
+    fn evict(&mut self) {
+        if let Some(entry) = self.entries.pop_front() {
+            self.bytes -= entry.json.len();
+            self.base = entry.offset;
+        }
+    }
+}
--- /dev/null
+++ b/crates/feed/src/relay/purges.rs
@@ -0,0 +1,154 @@
+//! The purges in force: what a snapshot tells of them. Beyond its room the oldest fold into floors by slice, which purge
+//! more than was asked for and never less.
+
+use crate::Micros;
+use crate::message::Ban;
+use crate::slice::{self, Floor, Floors, SLICES};
+use std::collections::BTreeMap;
+
+/// The purges of a snapshot take no more than this, besides floors.
+const PURGES_BYTES: usize = 2 * 1024 * 1024;
+/// What a purge takes besides its key, about.
+const PURGE_OVERHEAD: usize = 64;
+
+/// What is purged, as the gateways read it: a URL goes before a tag.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Key {
+    Url(String),
+    Tag(u64),
+    /// Words that are not known here.
+    Unknown(String),
+}
+
+#[derive(Debug)]
+struct Purge {
+    ban: Ban,
+    learned: Micros,
+    /// Numbers purges in the order in which they became known.
+    number: u64,
+}
+
+/// Purges by what they purge, each for a stated time from when it became known.
+#[derive(Debug)]
+pub struct Purges {
+    keep: Micros,
+    room: usize,
+    by_key: BTreeMap<Key, Purge>,
+    by_number: BTreeMap<u64, Key>,
+    next_number: u64,
+    bytes: usize,
+    floors: Floors,
+}
+
+impl Purges {
+    pub fn new(keep: Micros, room: usize) -> Purges {
+        Purges {
+            keep,
+            room,
+            by_key: BTreeMap::new(),
+            by_number: BTreeMap::new(),
+            next_number: 0,
+            bytes: 0,
+            floors: Floors::default(),
+        }
+    }
+
+    /// Takes in a purge. An earlier one of the same is never weakened.
+    pub fn add(&mut self, now: Micros, ban: &Ban) {
+        self.expire(now);
+        if let (Some(slice), Some(of)) = (ban.slice, ban.of) {
+            self.floors.raise(slice, of, Floor { ts: ban.ts, learned: now });
+            return;
+        }
+        let key = key(ban);
+        let mut ban = ban.clone();
+        if let Some(known) = self.remove(&key) {
+            ban.ts = ban.ts.max(known.ban.ts);
+        }
+        self.insert(key, ban, now);
+        while self.by_key.len() > self.room || self.bytes > PURGES_BYTES {
+            self.fold_oldest();
+        }
+    }
+
+    /// Drops purges that have been known for as long as they are kept: older copies are gone by then.
+    pub fn expire(&mut self, now: Micros) {
+        let Some(before) = now.checked_sub(self.keep) else { return };
+        while let Some((_, key)) = self.by_number.first_key_value() {
+            let key = key.clone();
+            if self.by_key.get(&key).is_some_and(|purge| purge.learned >= before) {
+                break;
+            }
+            self.remove(&key);
+        }
+        self.floors.drop_before(before);
+    }
+
+    /// All that is in force, as purges: floors, then the others, the oldest first.
+    pub fn all(&self) -> impl Iterator<Item = Ban> + '_ {
+        let floor =
+            |(slice, Floor { ts, .. })| Ban { slice: Some(slice), of: Some(SLICES), ts, ..Ban::default() };
+        let single = |key: &Key| self.by_key.get(key).map(|purge| purge.ban.clone());
+        self.floors.iter().map(floor).chain(self.by_number.values().filter_map(single))
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_key.len()
+    }
+
+    pub fn floors(&self) -> &Floors {
+        &self.floors
+    }
+
+    fn insert(&mut self, key: Key, ban: Ban, learned: Micros) {
+        let number = self.next_number;
+        self.next_number += 1;
+        self.bytes += size(&key);
+        self.by_number.insert(number, key.clone());
+        self.by_key.insert(key, Purge { ban, learned, number });
+    }
+
+    fn remove(&mut self, key: &Key) -> Option<Purge> {
+        let purge = self.by_key.remove(key)?;
+        self.by_number.remove(&purge.number);
+        self.bytes -= size(key);
+        Some(purge)
+    }
+
+    fn fold_oldest(&mut self) {
+        let Some((_, key)) = self.by_number.first_key_value() else { return };
+        let key = key.clone();
+        let Some(Purge { ban, learned, .. }) = self.remove(&key) else { return };
+        let floor = Floor { ts: ban.ts, learned };
+        match key {
+            Key::Url(url) => self.raise(slice::url_hash(&url), floor),
+            Key::Tag(tag) => self.raise(slice::tag_hash(tag), floor),
+            // Whatever it purges is somewhere.
+            Key::Unknown(_) => self.floors.raise(0, 1, floor),
+        }
+    }
+
+    fn raise(&mut self, hash: u64, floor: Floor) {
+        self.floors.raise(slice::slice_of(hash, SLICES), SLICES, floor);
+    }
+}
+
+fn key(ban: &Ban) -> Key {
+    match (&ban.url, ban.tag) {
+        (Some(url), _) => Key::Url(url.clone()),
+        (None, Some(tag)) => Key::Tag(tag),
+        (None, None) => {
+            let untimed = Ban { ts: 0, ..ban.clone() };
+            // What was read from JSON can be written as JSON.
+            Key::Unknown(serde_json::to_string(&untimed).unwrap_or_default())
+        }
+    }
+}
+
+fn size(key: &Key) -> usize {
+    PURGE_OVERHEAD
+        + match key {
+            Key::Url(text) | Key::Unknown(text) => text.len(),
+            Key::Tag(_) => 0,
+        }
+}
--- a/crates/feed/src/slice.rs
+++ b/crates/feed/src/slice.rs
@@ -3,6 +3,9 @@
 //! Sender and receiver must hash alike: the hash is part of the wire format. URLs and tags share one space, so that an
 //! object is under the floors of its URL's slice and of its tags' slices.
 
+use crate::Micros;
+use std::collections::BTreeMap;
+
 /// Slices that a relay folds into.
 pub const SLICES: u32 = 4_096;
 
@@ -50,3 +53,51 @@
     hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
     hash ^ hash >> 33
 }
+
+/// A floor: copies made before `ts` count as purged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Floor {
+    /// Unix milliseconds.
+    pub ts: u64,
+    /// When the latest purge in it became known, on one's own clock.
+    pub learned: Micros,
+}
+
+/// Floors by slice, [`SLICES`] at most. Relays fold old purges into them, and receivers keep what they are told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Floors {
+    by_slice: BTreeMap<u32, Floor>,
+}
+
+impl Floors {
+    /// Raises the floors of all that slice `slice` of `of` covers. A floor never goes down.
+    pub fn raise(&mut self, slice: u32, of: u32, floor: Floor) {
+        for slice in covering(slice, of, SLICES) {
+            let known = self.by_slice.entry(slice).or_insert(floor);
+            known.ts = known.ts.max(floor.ts);
+            known.learned = known.learned.max(floor.learned);
+        }
+    }
+
+    /// Before which time copies of what has this hash count as purged, in Unix milliseconds.
+    pub fn floor(&self, hash: u64) -> Option<u64> {
+        self.by_slice.get(&slice_of(hash, SLICES)).map(|floor| floor.ts)
+    }
+
+    /// Drops floors whose latest purge became known before then.
+    pub fn drop_before(&mut self, learned: Micros) {
+        self.by_slice.retain(|_, floor| floor.learned >= learned);
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (u32, Floor)> + '_ {
+        self.by_slice.iter().map(|(slice, floor)| (*slice, *floor))
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_slice.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_slice.is_empty()
+    }
+}
