--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -25,17 +25,20 @@
 use log::Log;
 use purges::Purges;
 use report::{Done, PeerStatus, Report, Status, SubscriberReport};
+use std::borrow::Cow;
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use topology::{STORES_ROOM, Topology};
 use watermark::Watermark;
 
 /// One connection of a subscriber, numbered by the caller.
 pub type Session = u64;
 
+/// How often what has been kept for long enough is dropped.
+const HOUSEKEEPING_EVERY: Micros = 1_000 * MILLISECOND;
 /// Subscribers that a status names at most.
 const LAGGING_SHOWN: usize = 16;
 
@@ -151,6 +154,9 @@
     flushed: u64,
     admission: Admission,
     watermark: Watermark,
+    /// The events of a snapshot, as long as nothing has changed since they were encoded.
+    snapshot: OnceLock<String>,
+    housekeeping_at: Micros,
 }
 
 impl Relay {
@@ -169,6 +175,8 @@
             flushed: 0,
             admission: Admission::new(settings.sessions, settings.per_address),
             watermark: Watermark::new(name, peers, *lease, *drift, *forget_after, now),
+            snapshot: OnceLock::new(),
+            housekeeping_at: now,
             settings,
         }
     }
@@ -197,7 +205,7 @@
         Ok(())
     }
 
-    /// A poll has come. Its acknowledgement counts in any case.
+    /// A poll has come. Its acknowledgement counts unless it is turned away.
     pub fn poll(&mut self, now: Micros, session: Session, address: IpAddr, poll: &Poll) -> Reply {
         if !self.ready || !self.admission.admit(session, address) {
             return self.busy(now);
@@ -234,8 +242,7 @@
 
     /// Answers held polls for which there is something new, or whose hold has ended.
     pub fn tick(&mut self, now: Micros) -> Vec<(Session, Arc<[u8]>)> {
-        self.purges.expire(now);
-        self.watermark.expire(now);
+        self.keep_house(now);
         let mut due = Vec::new();
         if self.flush_at.is_some_and(|at| at <= now) {
             self.flush_at = None;
@@ -340,6 +347,7 @@
             self.take_purge(now, event);
         }
         self.topology = topology;
+        self.snapshot.take();
         self.log.advance(answer.head.offset);
         if self.log.last() > known {
             // Stores that leave, and what is not known here, are told at once; purges are gathered.
@@ -360,6 +368,7 @@
             self.held.mark_all_for_snapshot();
         }
         self.log.reset(answer.head.offset);
+        self.snapshot.take();
         self.flush_by(now);
         Ok(())
     }
@@ -386,6 +395,16 @@
         }
     }
 
+    fn keep_house(&mut self, now: Micros) {
+        if now < self.housekeeping_at {
+            return;
+        }
+        self.housekeeping_at = now.saturating_add(HOUSEKEEPING_EVERY);
+        self.purges.expire(now);
+        self.snapshot.take();
+        self.watermark.expire(now);
+    }
+
     fn flush_by(&mut self, at: Micros) {
         self.flush_at = Some(self.flush_at.map_or(at, |known| known.min(at)));
     }
@@ -406,12 +425,15 @@
     fn body(&self, now: Micros, wanted: Wanted) -> Arc<[u8]> {
         let last = self.log.last();
         let (offset, snapshot, events) = match wanted {
-            Wanted::Snapshot => (last, true, self.snapshot()),
+            Wanted::Snapshot => {
+                let events = self.snapshot.get_or_init(|| self.snapshot_events());
+                (last, true, Cow::Borrowed(events.as_str()))
+            }
             // Whoever is ahead is told how far this relay is.
-            Wanted::After(from) if from >= last => (last, false, String::new()),
+            Wanted::After(from) if from >= last => (last, false, Cow::Borrowed("")),
             Wanted::After(from) => {
                 let batch = self.log.after(from);
-                (batch.offset, false, batch.events)
+                (batch.offset, false, Cow::Owned(batch.events))
             }
         };
         // A part of what is known proves no freshness.
@@ -421,7 +443,7 @@
     }
 
     /// The whole state, as events of the last offset.
-    fn snapshot(&self) -> String {
+    fn snapshot_events(&self) -> String {
         let offset = self.log.last();
         let event = |topology, ban| RawEvent { offset, topology, ban, other: serde_json::Map::new() };
         let list = self.topology.whole().map(|whole| event(Some(whole), None));
--- a/crates/feed/src/relay/purges.rs
+++ b/crates/feed/src/relay/purges.rs
@@ -55,7 +55,6 @@
 
     /// Takes in a purge. An earlier one of the same is never weakened.
     pub fn add(&mut self, now: Micros, ban: &Ban) {
-        self.expire(now);
         if let (Some(slice), Some(of)) = (ban.slice, ban.of) {
             self.floors.raise(slice, of, Floor { ts: ban.ts, learned: now });
             return;
--- /dev/null
+++ b/crates/feed/tests/lease.rs
@@ -0,0 +1,65 @@
+//! The freshness lease.
+
+use proptest::prelude::*;
+use sagearch_feed::lease::{Lease, surely_over};
+
+const LASTS: u64 = 1_700_000;
+
+#[test]
+fn before_the_first_answer_all_is_in_doubt() {
+    let lease = Lease::new(LASTS, 10);
+    assert!(lease.in_doubt(0) && lease.in_doubt(u64::MAX));
+    assert_eq!((lease.until(), lease.as_of()), (None, None));
+    assert_eq!(lease.floor(5_000_000), Some(5_000_000 - 1_683_000));
+}
+
+#[test]
+fn doubt_begins_at_the_very_end_of_the_lease() {
+    let mut lease = Lease::new(LASTS, 10);
+    lease.renew(1_000_000);
+    assert_eq!(lease.until(), Some(2_683_000));
+    assert!(!lease.in_doubt(2_682_999) && lease.in_doubt(2_683_000));
+    assert_eq!(lease.floor(2_682_999), None);
+}
+
+#[test]
+fn the_floor_moves_on_with_the_time() {
+    let mut lease = Lease::new(LASTS, 0);
+    lease.renew(0);
+    assert_eq!(lease.floor(LASTS), Some(0));
+    assert_eq!(lease.floor(LASTS + 60_000_000), Some(60_000_000));
+}
+
+#[test]
+fn an_older_answer_changes_nothing() {
+    let mut lease = Lease::new(LASTS, 10);
+    lease.renew(9_000_000);
+    lease.renew(1_000_000);
+    assert_eq!(lease.as_of(), Some(9_000_000));
+    lease.renew(10_000_000);
+    assert_eq!(lease.as_of(), Some(10_000_000));
+}
+
+#[test]
+fn absurd_numbers_end_at_the_bounds() {
+    let mut lease = Lease::new(u64::MAX, 2_000);
+    lease.renew(u64::MAX);
+    assert!(lease.in_doubt(u64::MAX), "a clock that may stand still proves nothing");
+    assert_eq!(surely_over(u64::MAX, u32::MAX), u64::MAX);
+}
+
+proptest! {
+    /// Both clocks within the drift: once a lease is counted as over elsewhere, its holder is in doubt.
+    #[test]
+    fn whoever_waits_for_a_lease_to_be_over_waits_long_enough(
+        lasts in 1_000_u64..5_000_000, drift in 0_u32..100, slow in 0_u32..100, fast in 0_u32..100,
+    ) {
+        let (slow, fast) = (u64::from(slow.min(drift)), u64::from(fast.min(drift)));
+        let mut lease = Lease::new(lasts, drift);
+        lease.renew(0);
+        // The true time after which the waiter's clock, which is fast, shows that the lease is surely over.
+        let passed = surely_over(lasts, drift) * 1_000 / (1_000 + fast) + 1;
+        let holders_clock = passed * (1_000 - slow) / 1_000;
+        prop_assert!(lease.in_doubt(holders_clock + 1));
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/message.rs
@@ -0,0 +1,108 @@
+//! Forms of polls and answers.
+
+use rstest::rstest;
+use sagearch_feed::message::{Answer, BadPoll, BadPollCause, FeedId, Head, Identity, LONGEST_HOLD_MS, Poll};
+use sagearch_feed::slice;
+
+fn poll(from: u64, hold_ms: u64) -> Poll {
+    Poll { from, hold_ms, feed: None, identity: None }
+}
+
+#[test]
+fn a_plain_poll_is_todays_request_byte_for_byte() {
+    assert_eq!(poll(17, 1_000).path(), "/bus/read?from=17&hold=1000");
+}
+
+#[rstest]
+#[case::plain(poll(0, 0))]
+#[case::largest(poll(u64::MAX, 30_000))]
+#[case::named(Poll {
+    feed: FeedId::new("a.B_c-9").ok(),
+    identity: Some(Identity { name: "gäte&way=%1 /2".to_owned(), incarnation: u64::MAX }),
+    ..poll(3, 500)
+})]
+fn what_is_written_is_read(#[case] poll: Poll) {
+    let path = poll.path();
+    let (_, query) = path.split_once('?').unwrap();
+    assert_eq!(Poll::parse(query), Ok(poll));
+}
+
+#[rstest]
+#[case::no_from("hold=5", 6, BadPollCause::NoFrom)]
+#[case::nothing("", 0, BadPollCause::NoFrom)]
+#[case::empty_from("from=&hold=5", 5, BadPollCause::BadNumber)]
+#[case::huge_from("from=18446744073709551616", 5, BadPollCause::BadNumber)]
+#[case::negative_from("from=-1", 5, BadPollCause::BadNumber)]
+#[case::signed_hold("from=1&hold=+5", 12, BadPollCause::BadNumber)]
+#[case::twice("from=1&from=2", 7, BadPollCause::Twice)]
+#[case::no_incarnation("from=1&name=a", 13, BadPollCause::HalfIdentity)]
+#[case::no_name("from=1&incarnation=4", 20, BadPollCause::HalfIdentity)]
+#[case::bad_feed("from=1&feed=a%20b", 12, BadPollCause::BadFeed)]
+#[case::empty_name("from=1&name=&incarnation=1", 12, BadPollCause::BadName)]
+#[case::bad_escape("from=1&name=%4&incarnation=1", 12, BadPollCause::BadName)]
+#[case::line_break("from=1&name=a%0Ab&incarnation=1", 12, BadPollCause::BadName)]
+fn a_bad_query_is_told_with_its_place(
+    #[case] query: &str,
+    #[case] place: usize,
+    #[case] cause: BadPollCause,
+) {
+    assert_eq!(Poll::parse(query), Err(BadPoll { place, cause }));
+}
+
+#[test]
+fn what_is_read_is_bounded() {
+    let long = |name: usize| format!("from=1&incarnation=1&name={}", "n".repeat(name));
+    assert!(Poll::parse(&long(128)).is_ok());
+    assert_eq!(Poll::parse(&long(129)).unwrap_err().cause, BadPollCause::BadName);
+    assert_eq!(Poll::parse(&long(2_000)).unwrap_err().cause, BadPollCause::TooLong);
+    assert_eq!(Poll::parse("from=1&hold=99999999").unwrap().hold_ms, LONGEST_HOLD_MS);
+    assert_eq!(Poll::parse("from=1&later=x&hold").unwrap_err().cause, BadPollCause::BadNumber);
+    assert_eq!(Poll::parse("later=x&from=1"), Ok(poll(1, 0)));
+    assert!(FeedId::new(&"f".repeat(64)).is_ok() && FeedId::new(&"f".repeat(65)).is_err());
+}
+
+#[test]
+fn the_head_of_a_plain_answer_has_neither_age_nor_feed() {
+    let head: Head = serde_json::from_str(r#"{"offset":4,"batch":[{"x":1}],"later":{}}"#).unwrap();
+    assert_eq!(head, Head { offset: 4, feed: None, age_ms: None, snapshot: false });
+}
+
+#[rstest]
+#[case::negative_age(r#"{"offset":4,"age_ms":-1,"batch":[]}"#)]
+#[case::bad_feed(r#"{"offset":4,"feed":"a b","batch":[]}"#)]
+#[case::negative_offset(r#"{"offset":-4,"batch":[]}"#)]
+#[case::no_offset(r#"{"batch":[]}"#)]
+fn a_head_that_can_not_be_is_refused(#[case] body: &str) {
+    assert!(serde_json::from_str::<Head>(body).is_err());
+    assert!(serde_json::from_str::<Answer>(body).is_err());
+}
+
+#[test]
+fn words_of_events_that_are_not_known_pass_on_unchanged() {
+    let told = r#"{"offset":9,"feed":"f","age_ms":7,"snapshot":true,"batch":[
+        {"offset":8,"ban":{"tag":5,"ts":3,"why":"x"},"more":[1]},
+        {"offset":8,"ban":{"url":17,"ts":3}},
+        {"ban":{"url":"no number"}},
+        {"offset":9,"topology":{"reset":true,"instances":[{"instanceId":"a","later":1}],"later":2}}]}"#;
+    let mut whole: serde_json::Value = serde_json::from_str(told).unwrap();
+    let answer: Answer = serde_json::from_str(told).unwrap();
+    assert_eq!(answer.batch[0].ban.as_ref().unwrap().tag, Some(5));
+    assert!(answer.batch[1].ban.is_none(), "a ban that can't be read is passed on as it is");
+    // An event without a number can't be passed on.
+    whole["batch"].as_array_mut().unwrap().remove(2);
+    assert_eq!(serde_json::to_value(&answer).unwrap(), whole);
+}
+
+#[test]
+fn slices_of_other_sizes_are_covered_whole() {
+    assert_eq!(slice::covering(0, 1, 4), 0..4);
+    assert_eq!(slice::covering(1, 3, 4), 1..3);
+    assert_eq!(slice::covering(5, 8, 4), 2..3);
+    assert!(slice::covering(4, 4, 4).is_empty() && slice::covering(0, 0, 4).is_empty());
+    for hash in (0..1_000).map(|n| slice::url_hash(&n.to_string())) {
+        for (of, into) in [(3, 4), (4, 3), (4_096, 7), (7, 4_096)] {
+            let covered = slice::covering(slice::slice_of(hash, of), of, into);
+            assert!(covered.contains(&slice::slice_of(hash, into)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/subscription.rs
@@ -0,0 +1,371 @@
+//! Which relay a subscriber asks when, and what it makes of answers.
+
+use rstest::rstest;
+use sagearch_feed::message::{FeedId, Head, Identity, Poll};
+use sagearch_feed::subscription::{
+    Failure, LARGEST_LEAP, LARGEST_OFFSET, Rejected, Settings, Step, Subscription, Taken,
+};
+use sagearch_feed::{MILLISECOND, Micros};
+use std::collections::BTreeMap;
+
+const START: Micros = 100_000 * MILLISECOND;
+const DRIFT: u32 = 10;
+
+fn settings(name: &str, relays: usize) -> Settings {
+    let relays = (0..relays).map(|relay| format!("relay-{relay}")).collect();
+    Settings { drift: DRIFT, preferred: 1, ..Settings::new(name, 7, relays) }
+}
+
+fn feed(id: &str) -> Option<FeedId> {
+    FeedId::new(id).ok()
+}
+
+fn head(offset: u64, age_ms: u64) -> Head {
+    Head { offset, feed: feed("f"), age_ms: Some(age_ms), snapshot: false }
+}
+
+/// Waits for the next poll: when it is sent, to whom, and what it says.
+fn next_poll(subscription: &mut Subscription, mut now: Micros) -> (Micros, usize, Poll, Micros) {
+    loop {
+        match subscription.next(now) {
+            Step::Poll { relay, poll, give_up_after } => return (now, relay, poll, give_up_after),
+            Step::Wait { until } => {
+                assert!(until > now, "waiting moves the time on");
+                now = until;
+            }
+        }
+    }
+}
+
+/// A subscriber that has events up to `offset` in force, of age 0 at [`START`].
+fn following(relays: usize, offset: u64) -> Subscription {
+    let mut subscription = Subscription::new(settings("a", relays), 1, START);
+    let (sent, relay, poll, _) = next_poll(&mut subscription, START);
+    assert_eq!((relay, poll.from, poll.hold_ms), (0, 0, 0), "the first word is wanted at once");
+    subscription.answered(sent, sent, &head(offset, 0)).unwrap();
+    subscription.in_force(sent);
+    assert_eq!(subscription.offset(), offset);
+    subscription
+}
+
+#[test]
+fn a_poll_acknowledges_only_what_is_in_force() {
+    let mut subscription = following(2, 5);
+    let (sent, _, poll, _) = next_poll(&mut subscription, START);
+    let identity = Some(Identity { name: "a".to_owned(), incarnation: 7 });
+    assert_eq!(poll, Poll { from: 5, hold_ms: 500, feed: feed("f"), identity });
+    assert_eq!(subscription.answered(sent, sent, &head(9, 0)), Ok(Taken::Changes { after: 5 }));
+    let (_, _, poll, _) = next_poll(&mut subscription, sent + 1);
+    assert_eq!(poll.from, 5, "nothing of the answer is in force yet");
+    assert_eq!(subscription.lease().as_of(), Some(START));
+    subscription.answered(sent, sent, &head(9, 0)).unwrap();
+    subscription.in_force(sent + 1);
+    assert_eq!(next_poll(&mut subscription, sent + 1).2.from, 9);
+}
+
+#[test]
+fn freshness_counts_from_the_sending_less_the_age_with_the_drift() {
+    let mut subscription = following(1, 5);
+    let (sent, received) = (START + 700_000, START + 1_100_000);
+    subscription.answered(received, sent, &head(5, 300)).unwrap();
+    assert_eq!(subscription.lease().as_of(), Some(sent - 303_001));
+}
+
+#[test]
+fn an_answer_that_comes_after_its_lease_leaves_its_receiver_in_doubt() {
+    let mut subscription = following(1, 5);
+    // Paused for 3 s between the sending and the taking in.
+    let (sent, received) = (START + 500_000, START + 3_500_000);
+    assert_eq!(subscription.answered(received, sent, &head(6, 0)), Ok(Taken::Changes { after: 5 }));
+    subscription.in_force(received);
+    assert!(subscription.lease().in_doubt(received));
+    assert_eq!(subscription.offset(), 6, "its events count all the same");
+    subscription.answered(received + 1, received, &head(6, 0)).unwrap();
+    assert!(!subscription.lease().in_doubt(received + 1));
+}
+
+#[rstest]
+#[case::hours_old(Some(4 * 3_600_000))]
+#[case::older_than_time(Some(u64::MAX))]
+#[case::not_told(None)]
+fn an_answer_without_freshness_renews_nothing(#[case] age_ms: Option<u64>) {
+    let mut subscription = following(2, 5);
+    for _ in 0..2 {
+        let (sent, relay, ..) = next_poll(&mut subscription, START);
+        assert_eq!(relay, 0);
+        subscription.answered(sent, sent, &Head { age_ms, ..head(5, 0) }).unwrap();
+        assert_eq!(subscription.lease().as_of(), Some(START));
+    }
+    assert_eq!(next_poll(&mut subscription, START).1, 1, "after a few of those the next one is asked");
+}
+
+#[test]
+fn the_bus_itself_need_not_tell_an_age() {
+    let mut subscription = Subscription::new(Settings { direct: true, ..settings("a", 1) }, 1, START);
+    let plain = Head { offset: 3, feed: None, age_ms: None, snapshot: false };
+    assert_eq!(subscription.answered(START, START, &plain), Ok(Taken::Changes { after: 0 }));
+    assert_eq!(subscription.pending_as_of(), Some(START));
+    subscription.in_force(START);
+    assert!(!subscription.lease().in_doubt(START));
+}
+
+#[test]
+fn a_relay_that_is_behind_proves_nothing_and_is_left() {
+    let mut subscription = following(2, 5);
+    for _ in 0..2 {
+        let (_, relay, poll, _) = next_poll(&mut subscription, START);
+        assert_eq!((relay, poll.from), (0, 5));
+        let behind = Head { snapshot: true, ..head(4, 0) };
+        assert_eq!(subscription.answered(START + 900_000, START + 400_000, &behind), Ok(Taken::Nothing));
+        subscription.in_force(START + 900_000);
+    }
+    assert_eq!((subscription.offset(), subscription.lease().as_of()), (5, Some(START)));
+    let (_, relay, poll, _) = next_poll(&mut subscription, START + 900_000);
+    assert_eq!((relay, poll.from), (1, 5), "nobody goes back");
+}
+
+#[test]
+fn another_numbering_is_taken_only_as_a_whole() {
+    let mut subscription = following(2, 50);
+    let other = Head { feed: feed("g"), ..head(60, 0) };
+    let rejected = Rejected::FeedChanged { known: feed("f"), told: feed("g") };
+    assert_eq!(subscription.answered(START, START, &other), Err(rejected));
+    subscription.in_force(START);
+    assert_eq!(subscription.offset(), 50);
+    let (_, relay, poll, _) = next_poll(&mut subscription, START);
+    assert_eq!((relay, poll.from, poll.feed), (1, 0, None), "the whole state is asked for");
+    let snapshot = Head { offset: 3, snapshot: true, ..other };
+    assert_eq!(subscription.answered(START, START, &snapshot), Ok(Taken::Snapshot));
+    subscription.in_force(START);
+    let (_, _, poll, _) = next_poll(&mut subscription, START);
+    assert_eq!((poll.from, poll.feed), (3, feed("g")));
+}
+
+#[test]
+fn a_bus_that_tells_the_whole_from_the_start_is_taken_as_a_whole() {
+    let mut subscription = following(1, 50);
+    let unnamed = Head { feed: None, ..head(4, 0) };
+    assert!(subscription.answered(START, START, &unnamed).is_err());
+    assert_eq!(subscription.answered(START, START, &unnamed), Ok(Taken::Snapshot));
+}
+
+#[rstest]
+#[case::within(100 + LARGEST_LEAP, false, Ok(Taken::Changes { after: 100 }))]
+#[case::beyond(101 + LARGEST_LEAP, false, Err(Rejected::OffsetLeap { known: 100, told: 101 + LARGEST_LEAP }))]
+#[case::whole(101 + LARGEST_LEAP, true, Ok(Taken::Snapshot))]
+#[case::absurd(LARGEST_OFFSET + 1, true, Err(Rejected::OffsetLeap { known: 100, told: LARGEST_OFFSET + 1 }))]
+fn an_offset_that_leaps_is_not_believed(
+    #[case] told: u64,
+    #[case] snapshot: bool,
+    #[case] taken: Result<Taken, Rejected>,
+) {
+    let mut subscription = following(2, 100);
+    assert_eq!(subscription.answered(START, START, &Head { snapshot, ..head(told, 0) }), taken);
+}
+
+/// Index of the relay that each of many subscribers asks after those lost.
+fn choices(subscribers: usize, lost: &[usize]) -> BTreeMap<usize, Vec<String>> {
+    let mut choices: BTreeMap<usize, Vec<String>> = BTreeMap::new();
+    for number in 0..subscribers {
+        let name = format!("gateway-{number}");
+        let settings = Settings { preferred: 0, ..settings(&name, 6) };
+        let mut subscription = Subscription::new(settings, number as u64, START);
+        let mut now = START;
+        let relay = loop {
+            let (sent, relay, ..) = next_poll(&mut subscription, now);
+            now = sent;
+            if !lost.contains(&relay) {
+                break relay;
+            }
+            subscription.failed(now, Failure::Unreachable);
+        };
+        choices.entry(relay).or_default().push(name);
+    }
+    choices
+}
+
+#[test]
+fn the_subscribers_of_a_lost_relay_spread_evenly_and_no_other_moves() {
+    let (before, after) = (choices(2_200, &[]), choices(2_200, &[2]));
+    let even = 2_200 / 6;
+    assert!(before.values().all(|of_one| of_one.len().abs_diff(even) < even / 5));
+    for (relay, then) in &after {
+        assert!(before[relay].iter().all(|name| then.contains(name)));
+        let gained = then.len() - before[relay].len();
+        assert!(gained.abs_diff(before[&2].len() / 5) < 40, "{gained} of {} to one", before[&2].len());
+    }
+}
+
+#[test]
+fn preferred_relays_come_first_in_their_order() {
+    for number in 0..50 {
+        let mut subscription =
+            Subscription::new(Settings { preferred: 2, ..settings(&format!("g{number}"), 6) }, number, START);
+        let mut asked = Vec::new();
+        let mut now = START;
+        for _ in 0..6 {
+            let (sent, relay, ..) = next_poll(&mut subscription, now);
+            now = sent;
+            asked.push(relay);
+            subscription.failed(now, Failure::Silent);
+        }
+        assert_eq!(asked[..2], [0, 1]);
+        asked.sort_unstable();
+        assert_eq!(asked, [0, 1, 2, 3, 4, 5], "all have their turn");
+    }
+}
+
+#[test]
+fn thousands_that_lose_their_relay_in_one_instant_come_back_spread_and_within_the_bound() {
+    let lost = START + 1_200_000;
+    let mut by_10_ms: BTreeMap<Micros, usize> = BTreeMap::new();
+    for seed in 0..2_200 {
+        let mut subscription = Subscription::new(settings(&format!("g{seed}"), 6), seed, START);
+        subscription.answered(START, START, &head(1, 0)).unwrap();
+        subscription.in_force(START);
+        subscription.failed(lost, Failure::Unreachable);
+        let (sent, ..) = next_poll(&mut subscription, lost);
+        let until = subscription.lease().until().unwrap();
+        assert!(sent - lost <= (until - lost) / 2, "another one can be asked after it");
+        *by_10_ms.entry((sent - lost) / 10_000).or_default() += 1;
+    }
+    let most = by_10_ms.values().max().unwrap();
+    assert!(by_10_ms.len() >= 19 && *most < 320, "{by_10_ms:?}");
+}
+
+#[test]
+fn retry_after_is_obeyed_as_far_as_the_lease_allows() {
+    let refused = |seconds: u64| Failure::Refused { retry_after: Some(seconds * 1_000_000) };
+    // The only relay, with much of the lease left, asks for a second.
+    let mut subscription = following(1, 5);
+    subscription.failed(START, refused(1));
+    let (sent, ..) = next_poll(&mut subscription, START);
+    assert!((1_000_000..=1_250_000).contains(&(sent - START)), "{}", sent - START);
+    // It asks for an hour.
+    let mut subscription = following(1, 5);
+    subscription.failed(START, refused(3_600));
+    let (sent, ..) = next_poll(&mut subscription, START);
+    let until = subscription.lease().until().unwrap();
+    assert!(sent < until - 200_000 && sent > START + 1_000_000, "{}", sent - START);
+    // In doubt there is no bound but a lease's span.
+    let doubt = START + 10_000_000;
+    subscription.failed(doubt, refused(3_600));
+    let (sent, ..) = next_poll(&mut subscription, doubt);
+    assert_eq!(sent - doubt, 1_700_000);
+    // Another relay need not wait.
+    let mut subscription = following(2, 5);
+    subscription.failed(START, refused(1));
+    let (sent, relay, ..) = next_poll(&mut subscription, START);
+    assert!(relay == 1 && sent <= START + 200_000);
+    subscription.failed(sent, Failure::Unreachable);
+    let (again, relay, ..) = next_poll(&mut subscription, sent);
+    assert!(relay == 1 || again >= START + 1_000_000, "the one that asked for time has it");
+}
+
+#[test]
+fn failures_in_a_row_lengthen_the_pauses_up_to_a_second() {
+    let mut subscription = Subscription::new(settings("a", 3), 3, START);
+    let (mut now, mut pauses) = (START, Vec::new());
+    for _ in 0..8 {
+        subscription.failed(now, Failure::Silent);
+        let (sent, ..) = next_poll(&mut subscription, now);
+        pauses.push((sent - now) / MILLISECOND);
+        now = sent;
+    }
+    assert!((100..=200).contains(&pauses[0]) && (200..=400).contains(&pauses[1]), "{pauses:?}");
+    assert!(pauses[3..].iter().all(|pause| (500..=1_000).contains(pause)), "{pauses:?}");
+}
+
+#[test]
+fn a_lost_connection_is_opened_again_before_another_relay_is_asked() {
+    let mut subscription = following(2, 5);
+    subscription.failed(START, Failure::Lost);
+    let (sent, relay, poll, _) = next_poll(&mut subscription, START);
+    assert_eq!((relay, poll.hold_ms), (0, 0));
+    assert!(sent - START <= 50_000);
+    subscription.failed(sent, Failure::Lost);
+    assert_eq!(next_poll(&mut subscription, sent).1, 1);
+}
+
+#[test]
+fn the_first_choice_is_tried_again_after_its_time_and_kept_if_it_answers() {
+    let mut subscription = following(3, 5);
+    subscription.failed(START, Failure::Unreachable);
+    let mut now = START;
+    let (mut back_at, mut trials) = (None, 0);
+    let mut second = None;
+    while back_at.is_none() {
+        let (sent, relay, ..) = next_poll(&mut subscription, now);
+        now = sent + 100_000;
+        if relay != 0 {
+            assert_eq!(*second.get_or_insert(relay), relay, "the one that serves is gone back to");
+        } else {
+            trials += 1;
+            if trials == 1 {
+                subscription.failed(now, Failure::Silent);
+                continue;
+            }
+            back_at = Some(sent - START);
+        }
+        subscription.answered(now, sent, &head(5, 0)).unwrap();
+        assert!(!subscription.lease().in_doubt(now));
+    }
+    let (least, most) = (60_000_000, 2 * 37_500_000 + 2_000_000);
+    assert!((least..=most).contains(&back_at.unwrap()), "{back_at:?}");
+    assert_eq!(next_poll(&mut subscription, now).1, 0);
+}
+
+#[test]
+fn silence_is_noticed_in_time_for_one_more_relay_within_the_lease() {
+    for seed in 0..200 {
+        let mut subscription = Subscription::new(settings("a", 2), seed, START);
+        let (sent, _, _, first) = next_poll(&mut subscription, START);
+        assert!((400_000..=500_000).contains(&first));
+        subscription.answered(sent, sent, &head(1, 0)).unwrap();
+        subscription.in_force(sent);
+        // Held to its end, with an age as of a relay; then the relay is silent.
+        let answered = START + 500_000;
+        subscription.answered(answered, START, &head(1, 0)).unwrap();
+        let (sent, _, _, give_up_after) = next_poll(&mut subscription, answered);
+        assert!((650_000..=750_000).contains(&give_up_after));
+        let silent = sent + give_up_after;
+        subscription.failed(silent, Failure::Silent);
+        let (sent, relay, poll, _) = next_poll(&mut subscription, silent);
+        assert_eq!((relay, poll.hold_ms), (1, 0));
+        assert!(!subscription.lease().in_doubt(sent + 100_000), "seed {seed}");
+    }
+}
+
+#[test]
+fn plain_mode_is_todays_bus() {
+    for seed in 0..100 {
+        let plain = Settings { plain: true, ..settings("a", 1) };
+        let mut subscription = Subscription::new(plain, seed, START);
+        let (_, _, poll, silent) = next_poll(&mut subscription, START);
+        assert_eq!(poll.path(), "/bus/read?from=0&hold=0");
+        assert!((1_300_000..=1_600_000).contains(&silent));
+        let mut now = START;
+        for (least, most) in [(10, 20), (20, 40), (40, 80), (80, 160), (100, 200), (100, 200)] {
+            subscription.failed(now, Failure::Unreachable);
+            let (sent, ..) = next_poll(&mut subscription, now);
+            assert!((least * MILLISECOND..=most * MILLISECOND).contains(&(sent - now)));
+            now = sent;
+        }
+        let told = |offset| Head { offset, feed: None, age_ms: None, snapshot: false };
+        assert_eq!(subscription.answered(now, now, &told(8)), Ok(Taken::Changes { after: 0 }));
+        subscription.in_force(now);
+        assert_eq!(subscription.answered(now, now, &told(3)), Ok(Taken::Nothing));
+        let (sent, _, poll, silent) = next_poll(&mut subscription, now);
+        assert_eq!((sent, poll.path().as_str()), (now, "/bus/read?from=8&hold=1000"));
+        assert!((1_300_000..=1_600_000).contains(&silent));
+        subscription.failed(now, Failure::Lost);
+        assert_eq!(next_poll(&mut subscription, now).0, now, "a lost connection is opened again at once");
+    }
+}
+
+#[test]
+fn without_relays_there_is_nothing_to_do() {
+    let mut subscription = Subscription::new(settings("a", 0), 1, START);
+    subscription.failed(START, Failure::Silent);
+    assert!(matches!(subscription.next(START), Step::Wait { until } if until > START));
+}
