--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -341,9 +341,12 @@
         let known = self.log.last();
         let fresh: Vec<&RawEvent> = answer.batch.iter().filter(|event| event.offset > known).collect();
         let topology = self.topology_after(&fresh, false)?;
-        for event in &fresh {
-            let offset = event.offset;
-            self.log.push(event).map_err(|_| Rejected::Unwritable { offset })?;
+        let encode = |event: &&RawEvent| {
+            serde_json::to_string(event).map_err(|_| Rejected::Unwritable { offset: event.offset })
+        };
+        let encoded = fresh.iter().map(encode).collect::<Result<Vec<_>, _>>()?;
+        for (event, json) in fresh.iter().zip(encoded) {
+            self.log.push(event.offset, json);
             self.take_purge(now, event);
         }
         self.topology = topology;
--- a/crates/feed/src/relay/log.rs
+++ b/crates/feed/src/relay/log.rs
@@ -1,6 +1,5 @@
 //! The events that a relay can still tell one by one, encoded as they go on the wire.
 
-use crate::message::RawEvent;
 use std::collections::VecDeque;
 
 /// The log's largest size, besides its number of events.
@@ -50,15 +49,14 @@
         self.entries.len()
     }
 
-    pub fn push(&mut self, event: &RawEvent) -> serde_json::Result<()> {
-        let json = serde_json::to_string(event)?.into_boxed_str();
+    /// Adds the next event, encoded.
+    pub fn push(&mut self, offset: u64, json: String) {
         self.bytes += json.len();
-        self.last = self.last.max(event.offset);
-        self.entries.push_back(Entry { offset: event.offset, json });
+        self.last = self.last.max(offset);
+        self.entries.push_back(Entry { offset, json: json.into_boxed_str() });
         while self.entries.len() > self.room || self.bytes > LOG_BYTES {
             self.evict();
         }
-        Ok(())
     }
 
     /// Numbers up to here are used, also where there were no events for them.
--- a/crates/feed/src/subscription.rs
+++ b/crates/feed/src/subscription.rs
@@ -375,6 +375,9 @@
 
     /// The next relay's turn, after a pause; back to the one before if this was the first choice tried again.
     fn move_on(&mut self, now: Micros, asked: Option<Micros>) {
+        if self.order.is_empty() {
+            return;
+        }
         let lease_left = self.lease_left(now);
         if let Some(asked) = asked {
             let rest = self.pauses.retry_after(asked, lease_left, self.settings.lease);
--- /dev/null
+++ b/crates/feed/tests/common/mod.rs
@@ -0,0 +1,79 @@
+//! What several tests build on.
+
+use sagearch_feed::message::{Answer, Ban, FeedId, Head, Identity, Poll, RawEvent};
+use sagearch_feed::relay::{Relay, Reply, Session, Settings};
+use sagearch_feed::subscription::Taken;
+use sagearch_feed::{MILLISECOND, Micros};
+use serde_json::{Map, Value, json};
+use std::net::{IpAddr, Ipv4Addr};
+
+pub const START: Micros = 1_000_000 * MILLISECOND;
+
+pub fn feed(id: &str) -> Option<FeedId> {
+    FeedId::new(id).ok()
+}
+
+pub fn event(offset: u64, topology: Option<Value>, ban: Option<Ban>) -> RawEvent {
+    RawEvent { offset, topology, ban, other: Map::new() }
+}
+
+pub fn purge(offset: u64, tag: u64, ts: u64) -> RawEvent {
+    event(offset, None, Some(Ban { tag: Some(tag), ts, ..Ban::default() }))
+}
+
+pub fn store(name: &str, lifecycle: &str) -> Value {
+    json!({"instanceId": name, "lifecycle": lifecycle, "hostPort": "10.0.0.1:80", "weight": 1.5, "later": 1})
+}
+
+pub fn stores(offset: u64, reset: bool, lines: &[Value]) -> RawEvent {
+    event(offset, Some(json!({"reset": reset, "instances": lines})), None)
+}
+
+pub fn answer(offset: u64, batch: Vec<RawEvent>) -> Answer {
+    Answer { head: Head { offset, feed: feed("f"), age_ms: Some(0), snapshot: false }, batch }
+}
+
+/// Takes in changes that are current.
+pub fn take(relay: &mut Relay, now: Micros, offset: u64, batch: Vec<RawEvent>) {
+    let taken = Taken::Changes { after: relay.offset() };
+    relay.upstream(now, Some(now), taken, &answer(offset, batch)).unwrap();
+}
+
+pub fn relay(change: impl FnOnce(&mut Settings)) -> Relay {
+    let mut settings = Settings { drift: 0, ..Settings::new("r1", vec![]) };
+    change(&mut settings);
+    Relay::new(settings, START)
+}
+
+/// A relay that is current at [`START`], with one list of stores as event 1.
+pub fn ready(change: impl FnOnce(&mut Settings)) -> Relay {
+    let mut relay = relay(change);
+    take(&mut relay, START, 1, vec![stores(1, true, &[store("a", "up")])]);
+    relay.tick(START);
+    relay
+}
+
+pub fn named(name: &str, incarnation: u64, from: u64, hold_ms: u64) -> Poll {
+    let identity = Some(Identity { name: name.to_owned(), incarnation });
+    Poll { from, hold_ms, feed: feed("f"), identity }
+}
+
+pub fn address(last: u8) -> IpAddr {
+    Ipv4Addr::new(10, 0, 0, last).into()
+}
+
+pub fn poll(relay: &mut Relay, now: Micros, session: Session, poll: &Poll) -> Reply {
+    relay.poll(now, session, address(1), poll)
+}
+
+pub fn read(body: &[u8]) -> Answer {
+    serde_json::from_slice(body).unwrap()
+}
+
+/// A poll that is answered at once.
+pub fn now(reply: Reply) -> Answer {
+    match reply {
+        Reply::Now(body) => read(&body),
+        other => panic!("{other:?}"),
+    }
+}
--- /dev/null
+++ b/crates/feed/tests/purges.rs
@@ -0,0 +1,104 @@
+//! Purges in force: whatever was purged stays purged, one by one or under a floor.
+
+use proptest::prelude::*;
+use sagearch_feed::message::Ban;
+use sagearch_feed::relay::purges::Purges;
+use sagearch_feed::slice::{self, Floor, Floors, SLICES};
+
+const KEEP: u64 = 1_000;
+
+fn url(path: String, ts: u64) -> Ban {
+    Ban { url: Some(path), ts, ..Ban::default() }
+}
+
+/// What a receiver of these purges knows: before which time a copy of the URL counts as purged.
+fn known(purges: &Purges, path: &str) -> Option<u64> {
+    let mut floors = Floors::default();
+    let mut single = None;
+    for ban in purges.all() {
+        if let (Some(slice), Some(of)) = (ban.slice, ban.of) {
+            floors.raise(slice, of, Floor { ts: ban.ts, learned: 0 });
+        } else if ban.url.as_deref() == Some(path) {
+            single = single.max(Some(ban.ts));
+        }
+    }
+    single.max(floors.floor(slice::url_hash(path)))
+}
+
+fn arbitrary() -> impl Strategy<Value = Ban> {
+    prop_oneof![
+        6 => (0_u32..40, 0_u64..100).prop_map(|(path, ts)| url(format!("/{path}"), ts)),
+        1 => (0_u64..20, 0_u64..100).prop_map(|(tag, ts)| Ban { tag: Some(tag), ts, ..Ban::default() }),
+        1 => (0_u32..9, 1_u32..9, 0_u64..100).prop_map(|(slice, of, ts)| Ban {
+            slice: Some(slice),
+            of: Some(of),
+            ts,
+            ..Ban::default()
+        }),
+        1 => (0_u64..100).prop_map(|ts| Ban { ts, ..Ban::default() }),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn folding_never_forgets(
+        told in proptest::collection::vec((arbitrary(), 0_u64..400), 1..60), room in 0_usize..12,
+    ) {
+        let mut purges = Purges::new(KEEP, room);
+        let mut truth: Vec<(u64, Ban)> = Vec::new();
+        let mut now = 0;
+        for (ban, passed) in told {
+            now += passed;
+            purges.expire(now);
+            purges.add(now, &ban);
+            truth.push((now, ban));
+            truth.retain(|(learned, _)| now - learned <= KEEP);
+            prop_assert!(purges.len() <= room);
+            for (_, ban) in &truth {
+                let Some(path) = &ban.url else { continue };
+                prop_assert!(known(&purges, path) >= Some(ban.ts), "{path} at {now}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_earlier_time_weakens_nothing() {
+    let mut purges = Purges::new(KEEP, 10);
+    purges.add(0, &url("/a".to_owned(), 9));
+    purges.add(1, &url("/a".to_owned(), 3));
+    assert_eq!((known(&purges, "/a"), purges.len()), (Some(9), 1));
+}
+
+#[test]
+fn tags_fold_into_the_same_space_and_unknown_purges_into_all_of_it() {
+    let mut purges = Purges::new(KEEP, 0);
+    purges.add(0, &Ban { tag: Some(7), ts: 5, ..Ban::default() });
+    assert_eq!(purges.floors().floor(slice::tag_hash(7)), Some(5));
+    assert_eq!(purges.floors().len(), 1);
+    purges.add(0, &Ban { ts: 4, ..Ban::default() });
+    assert_eq!(purges.floors().len(), SLICES as usize);
+    assert_eq!(purges.floors().floor(slice::tag_hash(7)), Some(5));
+}
+
+#[test]
+fn purges_and_floors_end_after_their_time() {
+    let mut purges = Purges::new(KEEP, 1);
+    purges.add(0, &url("/a".to_owned(), 1));
+    purges.add(10, &url("/b".to_owned(), 1));
+    purges.expire(KEEP);
+    assert_eq!((purges.len(), purges.floors().len()), (1, 1));
+    purges.expire(KEEP + 1);
+    assert_eq!((purges.len(), purges.floors().len()), (1, 0));
+    purges.expire(KEEP + 11);
+    assert_eq!(purges.all().count(), 0);
+}
+
+#[test]
+fn the_room_is_bounded_in_bytes_too() {
+    let mut purges = Purges::new(KEEP, 1_000_000);
+    for number in 0..300 {
+        purges.add(0, &url("u".repeat(10_000) + &number.to_string(), 1));
+    }
+    assert!(purges.len() < 210 && purges.floors().len() > 80);
+}
--- /dev/null
+++ b/crates/feed/tests/relay.rs
@@ -0,0 +1,285 @@
+//! A relay's answers: when, to whom and with what.
+
+mod common;
+
+use common::*;
+use rstest::rstest;
+use sagearch_feed::message::{Ban, Head, Poll};
+use sagearch_feed::relay::{Rejected, Relay, Reply};
+use sagearch_feed::slice;
+use sagearch_feed::subscription::Taken;
+use serde_json::json;
+use std::sync::Arc;
+
+#[test]
+fn a_relay_that_knows_nothing_turns_everybody_away() {
+    let mut relay = relay(|_| ());
+    let reply = poll(&mut relay, START, 1, &named("g", 1, 500, 500));
+    assert_eq!(reply, Reply::Busy { retry_after_ms: 100 });
+    assert_eq!(relay.status(START).subscribers, 0);
+    assert!(!relay.report(START).complete);
+}
+
+#[test]
+fn events_are_told_one_by_one_with_the_age_since_the_last_word_from_above() {
+    let mut relay = ready(|_| ());
+    take(&mut relay, START + 5_000, 2, vec![purge(2, 7, 33)]);
+    let told = now(poll(&mut relay, START + 9_400, 1, &named("g", 1, 0, 500)));
+    assert_eq!(told.head, Head { offset: 2, feed: feed("f"), age_ms: Some(5), snapshot: false });
+    assert_eq!(told.batch, [stores(1, true, &[store("a", "up")]), purge(2, 7, 33)]);
+}
+
+#[test]
+fn an_age_only_ever_grows_unless_there_is_newer_word() {
+    let mut relay = ready(|_| ());
+    let mut age = |as_of, at| {
+        relay.upstream(at, as_of, Taken::Nothing, &answer(1, vec![])).unwrap();
+        relay.report(at).age_ms
+    };
+    assert_eq!(age(None, START + 1_000), Some(1));
+    assert_eq!(age(Some(START - 50_000), START + 2_000), Some(2), "an old answer");
+    assert_eq!(age(Some(START + 9_000_000), START + 3_000), Some(0), "nobody is fresher than now");
+    assert_eq!(age(None, START + 4_000), Some(1));
+}
+
+#[test]
+fn a_held_poll_is_answered_at_the_end_of_its_hold_with_nothing() {
+    let mut relay = ready(|_| ());
+    assert_eq!(poll(&mut relay, START, 1, &named("g", 1, 1, 500)), Reply::Held);
+    assert_eq!(relay.next(), Some(START + 500_000));
+    assert!(relay.tick(START + 499_999).is_empty());
+    let told = read(&relay.tick(START + 500_000)[0].1);
+    assert_eq!((told.head.offset, told.head.age_ms, told.batch.len()), (1, Some(500), 0));
+    assert_eq!(relay.next(), None);
+}
+
+#[test]
+fn whoever_is_ahead_is_held_and_then_told_how_far_this_relay_is() {
+    let mut relay = ready(|_| ());
+    for (session, from) in [(1, 90), (2, u64::MAX)] {
+        assert_eq!(poll(&mut relay, START, session, &named("g", 1, from, 500)), Reply::Held);
+    }
+    let told = relay.tick(START + 500_000);
+    assert_eq!(told.len(), 2);
+    for (_, body) in told {
+        let told = read(&body);
+        assert_eq!((told.head.offset, told.head.snapshot, told.batch.len()), (1, false, 0));
+    }
+}
+
+#[test]
+fn purges_are_gathered_and_told_to_all_in_one_body() {
+    let mut relay = ready(|_| ());
+    for session in 0..300 {
+        poll(&mut relay, START, session, &named(&format!("g{session}"), 1, 1, 5_000));
+    }
+    take(&mut relay, START + 10_000, 2, vec![purge(2, 1, 1)]);
+    take(&mut relay, START + 60_000, 3, vec![purge(3, 2, 1)]);
+    assert_eq!(relay.next(), Some(START + 110_000));
+    assert!(relay.tick(START + 109_999).is_empty());
+    assert_eq!(poll(&mut relay, START + 109_999, 900, &named("late", 1, 1, 500)), Reply::Held);
+    let told = relay.tick(START + 110_000);
+    assert_eq!(told.len(), 301);
+    assert!(told.iter().all(|(_, body)| Arc::ptr_eq(body, &told[0].1)));
+    assert_eq!(read(&told[0].1).batch, [purge(2, 1, 1), purge(3, 2, 1)]);
+}
+
+#[test]
+fn an_answer_before_the_batch_is_full_holds_all_that_its_age_vouches_for() {
+    let mut relay = ready(|_| ());
+    poll(&mut relay, START, 1, &named("g", 1, 1, 50));
+    take(&mut relay, START + 10_000, 2, vec![purge(2, 1, 1)]);
+    let told = read(&relay.tick(START + 50_000)[0].1);
+    assert_eq!((told.head.offset, told.head.age_ms, told.batch.len()), (2, Some(40), 1));
+    let told = now(poll(&mut relay, START + 60_000, 1, &named("g", 1, 1, 0)));
+    assert_eq!((told.head.offset, told.batch.len()), (2, 1));
+}
+
+#[rstest]
+#[case::stores(stores(3, false, &[store("a", "draining")]))]
+#[case::unknown(serde_json::from_value(json!({"offset": 3, "later": 5})).unwrap())]
+fn what_is_no_purge_is_told_at_once_with_the_purges_before_it(
+    #[case] urgent: sagearch_feed::message::RawEvent,
+) {
+    let mut relay = ready(|_| ());
+    poll(&mut relay, START, 1, &named("g", 1, 1, 5_000));
+    take(&mut relay, START + 10_000, 2, vec![purge(2, 1, 1)]);
+    take(&mut relay, START + 11_000, 3, vec![urgent]);
+    assert_eq!(relay.next(), Some(START + 11_000));
+    assert_eq!(read(&relay.tick(START + 11_000)[0].1).batch.len(), 2);
+}
+
+#[test]
+fn a_relay_without_anything_to_tell_one_by_one_answers_with_a_snapshot() {
+    let mut relay = ready(|settings| settings.log_room = 2);
+    take(&mut relay, START, 2, vec![purge(2, 5, 50)]);
+    take(&mut relay, START, 3, vec![stores(3, false, &[store("b", "up"), store("a", "stopped")])]);
+    take(&mut relay, START, 4, vec![purge(4, 6, 60)]);
+    relay.tick(START);
+    let told = now(poll(&mut relay, START, 1, &named("g", 1, 1, 500)));
+    assert!(told.head.snapshot && told.head.offset == 4);
+    let lists = told.batch.iter().filter(|event| event.topology.is_some()).count();
+    assert_eq!(lists, 1);
+    assert_eq!(told.batch, [stores(4, true, &[store("b", "up")]), purge(4, 5, 50), purge(4, 6, 60)]);
+    assert!(!now(poll(&mut relay, START, 1, &named("g", 1, 2, 500))).head.snapshot);
+}
+
+#[test]
+fn a_relay_that_begins_with_a_snapshot_passes_it_on_whole() {
+    let mut first = ready(|settings| settings.log_room = 1);
+    take(&mut first, START, 3, vec![purge(2, 5, 50), purge(3, 6, 60)]);
+    let snapshot = now(poll(&mut first, START, 1, &named("r2", 1, 0, 0)));
+    let mut second = relay(|settings| settings.name = "r2".to_owned());
+    second.upstream(START, Some(START), Taken::Snapshot, &snapshot).unwrap();
+    assert_eq!(now(poll(&mut second, START, 1, &named("g", 1, 0, 0))), snapshot);
+    // What is known of purges is not forgotten by a snapshot that lacks them.
+    let mut poor = snapshot.clone();
+    poor.head.offset = 9;
+    poor.batch.truncate(1);
+    second.upstream(START, Some(START), Taken::Snapshot, &poor).unwrap();
+    assert_eq!(now(poll(&mut second, START, 1, &named("g", 1, 3, 0))).batch.len(), 3);
+}
+
+#[test]
+fn another_numbering_is_told_to_all_by_a_snapshot() {
+    let mut relay = ready(|_| ());
+    take(&mut relay, START, 70, vec![purge(70, 5, 50)]);
+    relay.tick(START + 100_000);
+    poll(&mut relay, START, 1, &named("g", 1, 70, 5_000));
+    let mut other = answer(3, vec![stores(3, true, &[])]);
+    other.head.feed = feed("g");
+    other.head.snapshot = true;
+    relay.upstream(START, Some(START), Taken::Snapshot, &other).unwrap();
+    let told = read(&relay.tick(START)[0].1);
+    assert_eq!((told.head.offset, told.head.feed, told.head.snapshot), (3, feed("g"), true));
+    assert_eq!(told.batch[1], purge(3, 5, 50), "purges of the numbering before are still in force");
+    // Whoever comes with the numbering before, or with none and some offset, does not know what it has.
+    let mut unnumbered = named("g", 1, 2, 500);
+    assert!(now(poll(&mut relay, START, 1, &unnumbered)).head.snapshot);
+    unnumbered.feed = None;
+    assert!(now(poll(&mut relay, START, 1, &unnumbered)).head.snapshot);
+    assert_eq!(relay.report(START).subscribers[0].offset, 0);
+}
+
+#[test]
+fn a_plain_poll_is_answered_as_the_bus_would() {
+    let mut relay = ready(|settings| (settings.purge_room, settings.log_room) = (1, 2));
+    let plain = |from| Poll { from, hold_ms: 0, feed: None, identity: None };
+    assert_eq!(now(poll(&mut relay, START, 1, &plain(0))).batch.len(), 1);
+    take(&mut relay, START, 4, vec![purge(2, 1, 1), purge(3, 2, 2), purge(4, 3, 3)]);
+    assert_eq!(now(poll(&mut relay, START, 1, &plain(2))).batch.len(), 2);
+    let reply = poll(&mut relay, START, 1, &plain(0));
+    assert!(matches!(reply, Reply::Bad(_)), "floors by slice would be passed over: {reply:?}");
+    assert_eq!(relay.status(START).subscribers, 0);
+}
+
+#[test]
+fn thousands_of_purges_in_a_second_cost_ten_answers_and_stay_bounded() {
+    let mut relay = ready(|settings| (settings.purge_room, settings.log_room) = (1_000, 2_000));
+    let (mut from, mut answers, mut heard) = (1, 0, 0);
+    poll(&mut relay, START, 1, &named("g", 1, from, 5_000));
+    for number in 0..5_000 {
+        let at = START + number * 200;
+        let offset = 2 + number;
+        let url = Some(format!("/{number}"));
+        take(&mut relay, at, offset, vec![event(offset, None, Some(Ban { url, ts: 9, ..Ban::default() }))]);
+        for (_, body) in relay.tick(at) {
+            let told = read(&body);
+            assert!(!told.head.snapshot);
+            (from, answers, heard) = (told.head.offset, answers + 1, heard + told.batch.len());
+            poll(&mut relay, at, 1, &named("g", 1, from, 5_000));
+        }
+    }
+    heard += relay.tick(START + 1_200_000).iter().map(|(_, body)| read(body).batch.len()).sum::<usize>();
+    assert!((9..=10).contains(&answers), "{answers}");
+    assert_eq!(heard, 5_000);
+    let status = relay.status(START + 1_200_000);
+    assert_eq!((status.purges, status.log_events), (1_000, 2_000));
+    assert!(status.purge_floors > 2_000 && status.purge_floors <= slice::SLICES as usize);
+}
+
+#[test]
+fn a_part_of_what_is_new_proves_no_freshness() {
+    let mut relay = ready(|_| ());
+    let long = |offset| {
+        let url = Some("u".repeat(60_000) + &offset.to_string());
+        event(offset, None, Some(Ban { url, ..Ban::default() }))
+    };
+    take(&mut relay, START, 40, (2..=40).map(long).collect());
+    let mut from = 1;
+    let mut parts = 0;
+    while from < 40 {
+        let told = now(poll(&mut relay, START, 1, &named("g", 1, from, 0)));
+        assert_eq!(told.head.offset, told.batch.last().unwrap().offset);
+        assert_eq!(told.head.age_ms.is_some(), told.head.offset == 40);
+        (from, parts) = (told.head.offset, parts + 1);
+    }
+    assert_eq!(parts, 3);
+}
+
+#[test]
+fn sessions_are_bounded_in_all_and_for_each_address() {
+    let mut relay = ready(|settings| (settings.sessions, settings.per_address) = (3, 2));
+    let mut ask = |session, host| {
+        let reply = relay.poll(START, session, address(host), &named("g", 1, 1, 500));
+        if session == 2 {
+            relay.closed(2);
+        }
+        reply
+    };
+    assert_eq!([ask(1, 1), ask(2, 1), ask(3, 1)], [Reply::Held, Reply::Held, Reply::Held]);
+    assert_eq!(ask(4, 1), Reply::Busy { retry_after_ms: 100 }, "two of one address are open");
+    assert_eq!(ask(5, 2), Reply::Held);
+    assert_eq!(ask(6, 3), Reply::Busy { retry_after_ms: 101 }, "they come back one after the other");
+    assert!(matches!(ask(1, 1), Reply::Bad(_)), "its poll is held already");
+    for session in 10..2_000 {
+        let Reply::Busy { retry_after_ms } = ask(session, 3) else { panic!("no room") };
+        assert!((100..=1_000).contains(&retry_after_ms));
+    }
+    assert_eq!(relay.status(START).sessions, 3);
+}
+
+#[test]
+fn a_closed_session_is_answered_no_more() {
+    let mut relay = ready(|_| ());
+    poll(&mut relay, START, 1, &named("g", 1, 1, 500));
+    relay.closed(1);
+    assert!(relay.tick(START + 500_000).is_empty());
+}
+
+#[rstest]
+#[case::disordered(answer(9, vec![purge(8, 1, 1), purge(7, 1, 1)]), Rejected::Disordered { offset: 7, after: 8 })]
+#[case::beyond(answer(9, vec![purge(10, 1, 1)]), Rejected::BeyondAnswer { offset: 10, told: 9 })]
+#[case::stores(
+    answer(9, vec![stores(9, true, &(0..16_385).map(|n| store(&n.to_string(), "up")).collect::<Vec<_>>())]),
+    Rejected::TooManyStores(16_385)
+)]
+fn an_answer_that_can_not_be_is_not_taken_in_at_all(
+    #[case] told: sagearch_feed::message::Answer,
+    #[case] why: Rejected,
+) {
+    let mut relay = ready(|_| ());
+    let taken = Taken::Changes { after: 1 };
+    assert_eq!(relay.upstream(START + 5_000, Some(START + 5_000), taken, &told), Err(why));
+    let status = relay.status(START + 5_000);
+    assert_eq!((status.offset, status.age_ms, status.purges, status.log_events), (1, Some(5), 0, 1));
+}
+
+#[test]
+fn what_gateways_pass_over_is_not_in_the_list() {
+    let mut relay = ready(|settings| settings.log_room = 1);
+    let unreadable = json!({"instanceId": "c", "lifecycle": "up", "hostPort": 80});
+    take(&mut relay, START, 3, vec![stores(2, true, &[unreadable]), stores(3, false, &[store("d", "up")])]);
+    let told = now(poll(&mut relay, START, 1, &named("g", 1, 0, 0)));
+    assert_eq!(told.batch, [stores(3, true, &[store("a", "up"), store("d", "up")])]);
+}
+
+#[test]
+fn events_that_come_again_are_not_told_again() {
+    let mut relay: Relay = ready(|_| ());
+    take(&mut relay, START, 2, vec![stores(1, true, &[]), purge(2, 1, 1)]);
+    take(&mut relay, START, 2, vec![purge(2, 1, 1)]);
+    let told = now(poll(&mut relay, START, 1, &named("g", 1, 0, 0)));
+    assert_eq!(told.batch, [stores(1, true, &[store("a", "up")]), purge(2, 1, 1)]);
+    assert_eq!(relay.status(START).purges, 1);
+}
