--- a/crates/feed/src/lease.rs
+++ b/crates/feed/src/lease.rs
@@ -15,13 +15,14 @@
     as_of: Option<Micros>,
     lasts: Micros,
     drift: u32,
+    started: Micros,
 }
 
 impl Lease {
-    /// A lease that has not begun. It `lasts` for so long of true time, and a clock may run fast or slow by `drift`
-    /// thousandths.
-    pub fn new(lasts: Micros, drift: u32) -> Lease {
-        Lease { as_of: None, lasts, drift }
+    /// A lease that has not begun, of a process that `started` then. It `lasts` for so long of true time, and a clock
+    /// may run fast or slow by `drift` thousandths.
+    pub fn new(lasts: Micros, drift: u32, started: Micros) -> Lease {
+        Lease { as_of: None, lasts, drift, started }
     }
 
     /// All events up to `as_of` are in force. An earlier time than the one known changes nothing.
@@ -47,8 +48,11 @@
 
     /// While in doubt: copies made before this time count as purged. It moves on with the time, as a copy made
     /// after the lease's end may have been purged since as well.
+    ///
+    /// It is never before the process's start: what an earlier process had acknowledged counts as in force here, and
+    /// this one does not know it.
     pub fn floor(&self, now: Micros) -> Option<Micros> {
-        self.in_doubt(now).then(|| now.saturating_sub(self.span()))
+        self.in_doubt(now).then(|| now.saturating_sub(self.span()).max(self.started))
     }
 
     /// The span on a clock that may be slow by the drift: never longer than the lease in true time.
--- a/crates/feed/src/subscription.rs
+++ b/crates/feed/src/subscription.rs
@@ -173,7 +173,7 @@
             order,
             turn: 0,
             pauses: Pauses::new(seed),
-            lease: Lease::new(settings.lease, settings.drift),
+            lease: Lease::new(settings.lease, settings.drift, now),
             offset: 0,
             feed: None,
             following: false,
--- a/crates/feed/tests/lease.rs
+++ b/crates/feed/tests/lease.rs
@@ -7,7 +7,7 @@
 
 #[test]
 fn before_the_first_answer_all_is_in_doubt() {
-    let lease = Lease::new(LASTS, 10);
+    let lease = Lease::new(LASTS, 10, 0);
     assert!(lease.in_doubt(0) && lease.in_doubt(u64::MAX));
     assert_eq!((lease.until(), lease.as_of()), (None, None));
     assert_eq!(lease.floor(5_000_000), Some(5_000_000 - 1_683_000));
@@ -15,7 +15,7 @@
 
 #[test]
 fn doubt_begins_at_the_very_end_of_the_lease() {
-    let mut lease = Lease::new(LASTS, 10);
+    let mut lease = Lease::new(LASTS, 10, 0);
     lease.renew(1_000_000);
     assert_eq!(lease.until(), Some(2_683_000));
     assert!(!lease.in_doubt(2_682_999) && lease.in_doubt(2_683_000));
@@ -24,15 +24,25 @@
 
 #[test]
 fn the_floor_moves_on_with_the_time() {
-    let mut lease = Lease::new(LASTS, 0);
+    let mut lease = Lease::new(LASTS, 0, 0);
     lease.renew(0);
     assert_eq!(lease.floor(LASTS), Some(0));
     assert_eq!(lease.floor(LASTS + 60_000_000), Some(60_000_000));
 }
 
+#[test]
+fn a_restarted_process_uses_no_copy_from_before_its_start() {
+    // What was purged then, and acknowledged by the process before, counts as done.
+    let mut lease = Lease::new(LASTS, 0, 5_000_000);
+    assert_eq!(lease.floor(5_000_001), Some(5_000_000));
+    lease.renew(3_000_000);
+    assert_eq!(lease.floor(5_000_001), Some(5_000_000));
+    assert_eq!(lease.floor(9_000_000), Some(9_000_000 - LASTS));
+}
+
 #[test]
 fn an_older_answer_changes_nothing() {
-    let mut lease = Lease::new(LASTS, 10);
+    let mut lease = Lease::new(LASTS, 10, 0);
     lease.renew(9_000_000);
     lease.renew(1_000_000);
     assert_eq!(lease.as_of(), Some(9_000_000));
@@ -42,7 +52,7 @@
 
 #[test]
 fn absurd_numbers_end_at_the_bounds() {
-    let mut lease = Lease::new(u64::MAX, 2_000);
+    let mut lease = Lease::new(u64::MAX, 2_000, 0);
     lease.renew(u64::MAX);
     assert!(lease.in_doubt(u64::MAX), "a clock that may stand still proves nothing");
     assert_eq!(surely_over(u64::MAX, u32::MAX), u64::MAX);
@@ -55,7 +65,7 @@
         lasts in 1_000_u64..5_000_000, drift in 0_u32..100, slow in 0_u32..100, fast in 0_u32..100,
     ) {
         let (slow, fast) = (u64::from(slow.min(drift)), u64::from(fast.min(drift)));
-        let mut lease = Lease::new(lasts, drift);
+        let mut lease = Lease::new(lasts, drift, 0);
         lease.renew(0);
         // The true time after which the waiter's clock, which is fast, shows that the lease is surely over.
         let passed = surely_over(lasts, drift) * 1_000 / (1_000 + fast) + 1;
--- /dev/null
+++ b/crates/feed/tests/model.rs
@@ -0,0 +1,422 @@
+//! Every order of events of small worlds, by `stateright`, with the lease and the watermark as they are: messages are lost,
+//! doubled, late and reordered (what was sent stays in the net and may be delivered at any time, or never), processes
+//! pause (a step may never come), and die with all that they knew. Clocks run within the drift.
+
+use sagearch_feed::lease::{Lease, stretched_age, surely_over};
+use sagearch_feed::message::Identity;
+use sagearch_feed::relay::report::{DoneBy, Report};
+use sagearch_feed::relay::watermark::Watermark;
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeSet;
+
+const LASTS: u64 = 2_000;
+const DRIFT: u32 = 100;
+/// A tick of true time.
+const TICK: u64 = 1_000;
+/// When all clocks show this, the world begins; all have been up for long.
+const BEGIN: u64 = 1_000_000;
+const NEVER: u64 = 1_000_000_000;
+const RELAYS: usize = 2;
+/// The purge's offset.
+const PURGE: u64 = 1;
+
+#[derive(Clone)]
+struct Feed {
+    /// How fast the clocks run, in thousandths: of the relays, then of the subscribers.
+    relay_rates: [u64; RELAYS],
+    subscriber_rates: Vec<u64>,
+    ticks: u64,
+    relay_crashes: u8,
+    subscriber_crashes: u8,
+    /// Messages that may be in the net; the oldest is lost when there are more.
+    net: usize,
+}
+
+/// The first field orders messages by the time of sending.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Body {
+    /// The bus's answer to a poll of a relay, as it was when the poll was sent.
+    Told {
+        relay: usize,
+        incarnation: u64,
+        sent: u64,
+        offset: u64,
+    },
+    Poll {
+        relay: usize,
+        subscriber: usize,
+        incarnation: u64,
+        sent: u64,
+        from: u64,
+    },
+    Answer {
+        subscriber: usize,
+        incarnation: u64,
+        sent: u64,
+        offset: u64,
+        age: u64,
+    },
+    Report {
+        to: usize,
+        from: usize,
+        offset: u64,
+        complete: bool,
+        lines: Vec<(String, u64, u64, u64)>,
+    },
+}
+
+type Message = (u64, Body);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RelayState {
+    incarnation: u64,
+    offset: u64,
+    as_of: Option<u64>,
+    watermark: Watermark,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct SubscriberState {
+    incarnation: u64,
+    offset: u64,
+    lease: Lease,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    tick: u64,
+    purged: Option<u64>,
+    relays: Vec<RelayState>,
+    subscribers: Vec<SubscriberState>,
+    net: BTreeSet<Message>,
+    relay_crashes: u8,
+    subscriber_crashes: u8,
+    /// Some relay has said that the purge is done: it must never be untrue after that.
+    acknowledged: bool,
+    lease_over: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Action {
+    Tick,
+    Purge,
+    /// A relay polls the bus.
+    Ask(usize),
+    /// A subscriber polls a relay.
+    Send(usize, usize),
+    Tell(usize),
+    Deliver(Message),
+    CrashRelay(usize),
+    CrashSubscriber(usize),
+}
+
+fn clock(tick: u64, rate: u64) -> u64 {
+    BEGIN + tick * TICK * rate / 1_000
+}
+
+fn relay_name(relay: usize) -> String {
+    format!("r{relay}")
+}
+
+fn watermark(relay: usize, now: u64) -> Watermark {
+    let peers: Vec<String> = (0..RELAYS).filter(|other| *other != relay).map(relay_name).collect();
+    Watermark::new(&relay_name(relay), &peers, LASTS, DRIFT, NEVER, now)
+}
+
+impl Feed {
+    fn relay_clock(&self, world: &World, relay: usize) -> u64 {
+        clock(world.tick, self.relay_rates[relay])
+    }
+
+    fn subscriber_clock(&self, world: &World, subscriber: usize) -> u64 {
+        clock(world.tick, self.subscriber_rates[subscriber])
+    }
+
+    fn send(&self, world: &mut World, body: Body) {
+        world.net.insert((world.tick, body));
+        if world.net.len() > self.net {
+            world.net.pop_first();
+        }
+    }
+
+    fn deliver(&self, world: &mut World, body: Body) -> Option<()> {
+        match body {
+            Body::Told { relay, incarnation, sent, offset } => {
+                let now = self.relay_clock(world, relay);
+                let state = &mut world.relays[relay];
+                (state.incarnation == incarnation).then_some(())?;
+                state.offset = state.offset.max(offset);
+                state.as_of = state.as_of.max(Some(sent));
+                state.watermark.learn(now, None, state.offset);
+            }
+            Body::Poll { relay, subscriber, incarnation, sent, from } => {
+                let now = self.relay_clock(world, relay);
+                let state = &mut world.relays[relay];
+                let age = now - state.as_of?;
+                let identity = Identity { name: subscriber.to_string(), incarnation };
+                state.watermark.acknowledge(now, &identity, from);
+                let offset = state.offset;
+                self.send(world, Body::Answer { subscriber, incarnation, sent, offset, age });
+            }
+            Body::Answer { subscriber, incarnation, sent, offset, age } => {
+                let state = &mut world.subscribers[subscriber];
+                (state.incarnation == incarnation && offset >= state.offset).then_some(())?;
+                state.offset = offset;
+                state.lease.renew(sent - stretched_age(age, DRIFT));
+            }
+            Body::Report { to, from, offset, complete, lines } => {
+                let now = self.relay_clock(world, to);
+                let line = |(name, incarnation, offset, silent_ms)| {
+                    let via = relay_name(from);
+                    sagearch_feed::relay::report::SubscriberReport {
+                        name,
+                        incarnation,
+                        offset,
+                        silent_ms,
+                        via,
+                    }
+                };
+                let subscribers = lines.into_iter().map(line).collect();
+                let (relay, age_ms) = (relay_name(from), None);
+                let report = Report { relay, feed: None, offset, age_ms, complete, subscribers };
+                world.relays[to].watermark.hear(now, &relay_name(from), &report);
+            }
+        }
+        Some(())
+    }
+
+    fn tell(&self, world: &mut World, relay: usize) {
+        let now = self.relay_clock(world, relay);
+        let state = &world.relays[relay];
+        let complete = state.as_of.is_some() && state.watermark.complete(now);
+        let own = state.watermark.own_subscribers(now).into_iter();
+        let lines = own.map(|line| (line.name, line.incarnation, line.offset, line.silent_ms)).collect();
+        let (to, offset) = (1 - relay, state.offset);
+        self.send(world, Body::Report { to, from: relay, offset, complete, lines });
+    }
+
+    /// What each relay says now is kept: it must hold for ever.
+    fn note(&self, world: &mut World) {
+        for relay in 0..RELAYS {
+            let now = self.relay_clock(world, relay);
+            match world.relays[relay].watermark.done(now, PURGE).map(|done| done.by) {
+                Some(DoneBy::Acknowledged) => world.acknowledged = true,
+                Some(DoneBy::LeaseOver) => world.lease_over = true,
+                None => {}
+            }
+        }
+    }
+
+    /// A copy made just before the purge is still used.
+    fn uses_old_copy(&self, world: &World, subscriber: usize) -> bool {
+        let Some(purged) = world.purged else { return false };
+        let state = &world.subscribers[subscriber];
+        let made = clock(purged, self.subscriber_rates[subscriber]) - 1;
+        let floor = state.lease.floor(self.subscriber_clock(world, subscriber));
+        state.offset < PURGE && floor.is_none_or(|floor| made >= floor)
+    }
+
+    fn trusts_without_purge(&self, world: &World, subscriber: usize) -> bool {
+        let state = &world.subscribers[subscriber];
+        state.offset < PURGE && !state.lease.in_doubt(self.subscriber_clock(world, subscriber))
+    }
+
+    fn any(&self, world: &World, holds: fn(&Feed, &World, usize) -> bool) -> bool {
+        (0..self.subscriber_rates.len()).any(|subscriber| holds(self, world, subscriber))
+    }
+
+    /// No more faults from here on: is it acknowledged everywhere, by all relays, without waiting for leases?
+    fn recovers(&self, world: &World) -> bool {
+        let mut world = world.clone();
+        world.net.clear();
+        // Long enough for relays that were restarted to know who holds leases.
+        world.tick += 2 * surely_over(LASTS, DRIFT).div_ceil(TICK);
+        world.purged = world.purged.or(Some(world.tick));
+        let roomy = Feed { net: usize::MAX, ..self.clone() };
+        let mut steps: Vec<Action> = (0..RELAYS).map(Action::Ask).collect();
+        let polls = (0..self.subscriber_rates.len()).map(|subscriber| Action::Send(subscriber, 0));
+        // The second poll acknowledges what the first one brought.
+        steps.extend(polls.clone().chain(polls));
+        steps.extend((0..RELAYS).map(Action::Tell));
+        for step in steps {
+            roomy.act(&mut world, step);
+            while let Some((_, body)) = world.net.pop_first() {
+                roomy.deliver(&mut world, body);
+            }
+        }
+        let done = |relay: usize| {
+            world.relays[relay].watermark.done(self.relay_clock(&world, relay), PURGE).is_some()
+        };
+        (0..RELAYS).all(done) && !self.any(&world, Feed::uses_old_copy)
+    }
+
+    fn act(&self, world: &mut World, action: Action) -> Option<()> {
+        match action {
+            Action::Tick => world.tick += 1,
+            Action::Purge => world.purged = Some(world.tick),
+            Action::Ask(relay) => {
+                let sent = self.relay_clock(world, relay);
+                let incarnation = world.relays[relay].incarnation;
+                let offset = if world.purged.is_some() { PURGE } else { 0 };
+                self.send(world, Body::Told { relay, incarnation, sent, offset });
+            }
+            Action::Send(subscriber, relay) => {
+                let sent = self.subscriber_clock(world, subscriber);
+                let SubscriberState { incarnation, offset: from, .. } = world.subscribers[subscriber];
+                self.send(world, Body::Poll { relay, subscriber, incarnation, sent, from });
+            }
+            Action::Tell(relay) => self.tell(world, relay),
+            Action::Deliver((_, body)) => self.deliver(world, body)?,
+            Action::CrashRelay(relay) => {
+                let now = self.relay_clock(world, relay);
+                let incarnation = world.relays[relay].incarnation + 1;
+                let watermark = watermark(relay, now);
+                world.relays[relay] = RelayState { incarnation, offset: 0, as_of: None, watermark };
+                world.relay_crashes -= 1;
+            }
+            Action::CrashSubscriber(subscriber) => {
+                let now = self.subscriber_clock(world, subscriber);
+                let incarnation = world.subscribers[subscriber].incarnation + 1;
+                let lease = Lease::new(LASTS, DRIFT, now);
+                world.subscribers[subscriber] = SubscriberState { incarnation, offset: 0, lease };
+                world.subscriber_crashes -= 1;
+            }
+        }
+        Some(())
+    }
+}
+
+impl Model for Feed {
+    type State = World;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<World> {
+        let long_ago = BEGIN - 2 * surely_over(LASTS, DRIFT);
+        let relay = |relay| RelayState {
+            incarnation: 1,
+            offset: 0,
+            as_of: Some(BEGIN),
+            watermark: watermark(relay, long_ago),
+        };
+        let subscriber = |_: &u64| SubscriberState {
+            incarnation: 1,
+            offset: 0,
+            lease: Lease::new(LASTS, DRIFT, long_ago),
+        };
+        vec![World {
+            tick: 0,
+            purged: None,
+            relays: (0..RELAYS).map(relay).collect(),
+            subscribers: self.subscriber_rates.iter().map(subscriber).collect(),
+            net: BTreeSet::new(),
+            relay_crashes: self.relay_crashes,
+            subscriber_crashes: self.subscriber_crashes,
+            acknowledged: false,
+            lease_over: false,
+        }]
+    }
+
+    fn actions(&self, world: &World, actions: &mut Vec<Action>) {
+        let subscribers = 0..self.subscriber_rates.len();
+        if world.tick < self.ticks {
+            actions.push(Action::Tick);
+        }
+        if world.purged.is_none() {
+            actions.push(Action::Purge);
+        }
+        actions.extend((0..RELAYS).map(Action::Ask));
+        actions.extend((0..RELAYS).map(Action::Tell));
+        for relay in 0..RELAYS {
+            actions.extend(subscribers.clone().map(|subscriber| Action::Send(subscriber, relay)));
+        }
+        actions.extend(world.net.iter().cloned().map(Action::Deliver));
+        if world.relay_crashes > 0 {
+            actions.extend((0..RELAYS).map(Action::CrashRelay));
+        }
+        if world.subscriber_crashes > 0 {
+            actions.extend(subscribers.map(Action::CrashSubscriber));
+        }
+    }
+
+    fn next_state(&self, last: &World, action: Action) -> Option<World> {
+        let mut world = last.clone();
+        self.act(&mut world, action)?;
+        self.note(&mut world);
+        (world != *last).then_some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no older copy after the bound", |model: &Feed, world: &World| {
+                let over = world.purged.is_some_and(|purged| (world.tick - purged) * TICK >= LASTS);
+                !over || !model.any(world, Feed::uses_old_copy)
+            }),
+            Property::always("done only without leases that lack it", |model: &Feed, world: &World| {
+                !(world.acknowledged || world.lease_over) || !model.any(world, Feed::trusts_without_purge)
+            }),
+            Property::always("no older copy once leases are over", |model: &Feed, world: &World| {
+                !world.lease_over || !model.any(world, Feed::uses_old_copy)
+            }),
+            Property::always("done at last", |model: &Feed, world: &World| model.recovers(world)),
+            Property::sometimes("acknowledged", |_, world: &World| world.acknowledged),
+            Property::sometimes("leases over", |_, world: &World| world.lease_over),
+            Property::sometimes("in doubt", |model: &Feed, world: &World| {
+                let now = model.subscriber_clock(world, 0);
+                let lease = &world.subscribers[0].lease;
+                lease.as_of().is_some() && lease.in_doubt(now)
+            }),
+        ]
+    }
+}
+
+fn check(model: Feed) {
+    let checker = model.checker().threads(4).spawn_bfs().join();
+    println!("{} states, {} different", checker.state_count(), checker.unique_state_count());
+    checker.assert_properties();
+}
+
+const EVEN: [u64; RELAYS] = [1_000; RELAYS];
+/// A relay that counts leases fast, and a subscriber that counts its own slowly.
+const FAST: [u64; RELAYS] = [1_100; RELAYS];
+const SLOW: u64 = 900;
+
+fn small(change: impl FnOnce(&mut Feed)) {
+    let mut model = Feed {
+        relay_rates: EVEN,
+        subscriber_rates: vec![1_000],
+        ticks: 4,
+        relay_crashes: 0,
+        subscriber_crashes: 0,
+        net: 2,
+    };
+    change(&mut model);
+    check(model);
+}
+
+#[test]
+fn whatever_becomes_of_messages() {
+    small(|model| model.net = 3);
+}
+
+#[test]
+fn with_clocks_as_far_apart_as_may_be() {
+    small(|model| (model.relay_rates, model.subscriber_rates) = (FAST, vec![SLOW]));
+}
+
+#[test]
+fn with_a_subscriber_that_is_restarted() {
+    small(|model| model.subscriber_crashes = 1);
+}
+
+#[test]
+fn with_a_relay_that_is_restarted() {
+    small(|model| model.relay_crashes = 1);
+}
+
+/// Larger: minutes. `cargo test --release -p sagearch-feed --test model -- --ignored --nocapture`
+#[test]
+#[ignore = "takes minutes"]
+fn larger_worlds() {
+    small(|model| (model.net, model.relay_crashes, model.subscriber_crashes) = (3, 1, 1));
+    small(|model| (model.subscriber_rates, model.subscriber_crashes) = (vec![1_000, SLOW], 1));
+}
