--- a/src/net/control_side.rs
+++ b/src/net/control_side.rs
@@ -119,7 +119,7 @@
         };
         if let Some(stated) = &control_side.operators.feed {
             // In doubt from the beginning: before anything answers.
-            let (lease, revalidations) = (feed::first_lease(stated), stated.revalidate);
+            let (lease, revalidations) = (feed::first_lease(stated, clock.now()), stated.revalidate);
             control_side.broker().renew_freshness(clock.now(), lease, revalidations);
         }
         if joins_fleet {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -34,9 +34,9 @@
     pub stated: stated::Feed,
 }
 
-/// The lease of a gateway that has heard nothing yet.
-pub fn first_lease(stated: &stated::Feed) -> Lease {
-    Lease::new(stated.lease * MILLISECOND, stated.drift)
+/// The lease of a gateway that has just started and heard nothing yet.
+pub fn first_lease(stated: &stated::Feed, now: Micros) -> Lease {
+    Lease::new(stated.lease * MILLISECOND, stated.drift, now)
 }
 
 fn settings(following: &Following) -> Settings {
