--- a/src/net/control_side.rs
+++ b/src/net/control_side.rs
@@ -132,8 +132,7 @@
     fn join_fleet(&mut self, peer_listen: Option<SocketAddr>) -> io::Result<()> {
         let Some(fleet) = &self.operators.fleet else { return Ok(()) };
         let counted = self.guard.metrics.shared.clone();
-        let started =
-            shared::start(fleet, &self.name, peer_listen, self.clock, self.seed, counted, &self.running)?;
+        let started = shared::start(fleet, &self.name, peer_listen, self.clock, self.seed, counted)?;
         let Some(started) = started else { return Ok(()) };
         started.budgets.into_iter().for_each(|budget| self.broker().share_budget(budget));
         self.shared = Some(started.shared);
@@ -231,10 +230,15 @@
         self.shared.iter().for_each(|shared| shared.stop());
     }
 
+    fn has_ended(&self) -> bool {
+        let shared_ended = self.shared.as_ref().is_none_or(|shared| shared.ended());
+        shared_ended && self.running.load(Ordering::SeqCst) == 0
+    }
+
     /// Whether all that was started has come to its end, waited for so long at most. Not for a coroutine to call.
     pub fn stopped_within(&self, within: Duration) -> bool {
         let began = Instant::now();
-        while self.running.load(Ordering::SeqCst) > 0 {
+        while !self.has_ended() {
             if began.elapsed() >= within {
                 return false;
             }
