--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -168,7 +168,7 @@
 fn in_doubt_copies_from_before_a_moving_floor_will_not_do() {
     let mut broker = broker();
     broker.renew_freshness(0, lease(None), 1_000);
-    let mut limit_at = |broker: &mut Broker<Told>, now, id| {
+    let limit_at = |broker: &mut Broker<Told>, now, id| {
         limit(&attempt(broker.pick(now, request(id, 0), Caller::anonymous(), Told::default())))
     };
     assert_eq!(limit_at(&mut broker, 0, 1), Some(1), "nothing has been heard yet");
--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -331,7 +331,10 @@
     let (relay, bus) = (Relay::new("f1"), Bus::default());
     let purge = |number: u64| json!({"url": format!("o{number}"), "ts": unix_ms()});
     let file = if relays { file(&[&relay], "") } else { String::new() };
-    let push = |value: Value| if relays { drop(relay.push("ban", value)) } else { bus.push("ban", value) };
+    let push = |value: Value| match relays {
+        true => _ = relay.push("ban", value),
+        false => bus.push("ban", value),
+    };
     let start = |number: usize| {
         let config = control_config(&format!("{}x", "n".repeat(number)), &bus, &file);
         ControlSide::start(config, |inner| inner).unwrap()
