--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -14,6 +14,7 @@
 use sagearch_identity::keyring::State;
 use sagearch_identity::{Caller, Proof, Reason};
 use std::collections::HashSet;
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -76,6 +77,60 @@
     versions: Family<Handshake, Counter>,
     /// What is shared with other gateways.
     pub shared: Counted,
+    pub feed: FeedCounters,
+}
+
+/// What the event feed has cost so far. Clones count together.
+#[derive(Clone, Debug, Default)]
+pub struct FeedCounters {
+    pub bytes_sent: Counter,
+    pub bytes_received: Counter,
+    /// Polls that were answered, and calls that failed.
+    pub answers: Counter,
+    pub failed_calls: Counter,
+    /// Events that were brought into force.
+    pub events: Counter,
+    pub doubt: DoubtCounters,
+}
+
+/// What came of freshness leases that ended.
+#[derive(Clone, Debug, Default)]
+pub struct DoubtCounters {
+    pub times: Counter,
+    pub seconds: Counter<f64, AtomicU64>,
+    /// Attempts that were held back at their first byte.
+    pub held: Counter,
+    /// Requests that were refused as no revalidation could be paid for.
+    pub refused: Counter,
+}
+
+impl DoubtCounters {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("feed_doubts", "Times that the freshness lease ended", self.times.clone());
+        registry.register("feed_doubt_seconds", "Time in doubt", self.seconds.clone());
+        registry.register("feed_doubt_held", "Attempts held back at their first byte", self.held.clone());
+        let text = "Requests refused as no revalidation could be paid for";
+        registry.register("feed_doubt_refused", text, self.refused.clone());
+    }
+}
+
+impl FeedCounters {
+    fn register(&self, registry: &mut Registry) {
+        registry.register("feed_bytes_sent", "Bytes sent to the event feed", self.bytes_sent.clone());
+        registry.register(
+            "feed_bytes_received",
+            "Bytes that came from the event feed",
+            self.bytes_received.clone(),
+        );
+        registry.register("feed_answers", "Polls of the event feed that were answered", self.answers.clone());
+        registry.register(
+            "feed_failed_calls",
+            "Calls of the event feed that failed",
+            self.failed_calls.clone(),
+        );
+        registry.register("feed_events", "Events of the feed brought into force", self.events.clone());
+        self.doubt.register(registry);
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -140,6 +195,7 @@
             applied: Histogram::new(exponential_buckets(1e-3, 2.0, 14)),
             versions: Family::default(),
             shared: Counted::default(),
+            feed: FeedCounters::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -175,6 +231,7 @@
         let text = "Time from a version that has come whole to its being in force";
         registry.register("config_apply_seconds", text, m.applied.clone());
         registry.register("config_versions", "Streamed versions by outcome", m.versions.clone());
+        m.feed.register(&mut registry);
         let shared = &m.shared;
         registry.register(
             "shared_dropped",
--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -40,7 +40,7 @@
 use outbox::{Out, Outbox};
 use sagearch_homes::{Claim, Floors, Rules};
 use sagearch_ledger::Grant;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 use std::sync::{Arc, PoisonError};
 use tracing_mutex::stdsync::{Mutex, MutexGuard};
 use wire::GrantAuthority;
@@ -65,6 +65,10 @@
     /// When the first worker has to look again.
     due: AtomicU64,
     work: Sender<Work>,
+    workers: usize,
+    /// Its threads are to end.
+    stopping: AtomicBool,
+    running: Arc<AtomicUsize>,
     random: AtomicU64,
 }
 
--- a/src/net/shared/outbox.rs
+++ b/src/net/shared/outbox.rs
@@ -7,6 +7,7 @@
 use crate::net::clock::Clock;
 use sagearch_homes::{Incarnation, Member};
 use sagearch_ledger::{Amount, Bucket, UNIT};
+use std::io;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use tracing_mutex::stdsync::Mutex;
@@ -63,6 +64,12 @@
         }
     }
 
+    /// Sends an empty datagram to the own socket, so that whoever reads from it looks up.
+    pub fn wake_reader(&self) -> io::Result<()> {
+        let own = self.socket.local_addr()?;
+        self.socket.send_to(&[], own).map(drop)
+    }
+
     /// Whether the rate lets one more datagram go.
     fn take_turn(&self) -> bool {
         let mut allowed = lock(&self.allowed);
--- a/src/net/shared/start.rs
+++ b/src/net/shared/start.rs
@@ -22,7 +22,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use tracing_mutex::stdsync::Mutex;
 
 /// Notes and datagrams that wait for a worker; beyond, they are lost, as datagrams may be.
@@ -90,9 +90,12 @@
         counted,
         due: AtomicU64::new(now),
         work,
+        workers: fleet.workers,
+        stopping: AtomicBool::new(false),
+        running: Arc::default(),
         random: AtomicU64::new(seed),
     });
-    workers::spawn(&shared, socket, &taken, fleet.workers)?;
+    workers::spawn(&shared, socket, &taken)?;
     let region = &setup.region.name;
     log::info!(target: LOG_TARGET, "member {} of fleet {:?}, in region {region:?}", member.number, fleet.name);
     Ok(Some(Started { budgets, shared }))
--- a/src/net/shared/workers.rs
+++ b/src/net/shared/workers.rs
@@ -2,6 +2,7 @@
 
 use super::spend::GrantWanted;
 use super::{LOG_TARGET, Shared, lock, wire};
+use crate::net::Permit;
 use crossbeam_channel::{Receiver, RecvTimeoutError, TrySendError};
 use sagearch_homes::Micros;
 use sagearch_homes::placement::mix;
@@ -28,19 +29,22 @@
     Leave,
 }
 
-/// Starts the reader and the pool.
-pub fn spawn(
-    shared: &Arc<Shared>,
-    socket: Arc<UdpSocket>,
-    taken: &Receiver<Work>,
-    workers: usize,
-) -> io::Result<()> {
+/// Starts the reader and the pool. Whoever sees that all threads have ended may open the socket anew: each gives its
+/// permit back as the last thing it does.
+pub fn spawn(shared: &Arc<Shared>, socket: Arc<UdpSocket>, taken: &Receiver<Work>) -> io::Result<()> {
     let thread = |name: String| std::thread::Builder::new().name(name).stack_size(STACK);
-    let reading = shared.clone();
-    thread("shared-ear".into()).spawn(move || reading.listen(&socket))?;
-    for worker in 0..workers {
-        let (shared, taken) = (shared.clone(), taken.clone());
-        thread(format!("shared-{worker}")).spawn(move || shared.run(&taken, worker == 0))?;
+    let permit = || Permit::take(&shared.running, usize::MAX);
+    let (reading, running) = (shared.clone(), permit());
+    thread("shared-reader".into()).spawn(move || {
+        let (_running, reading, socket) = (running, reading, socket);
+        reading.listen(&socket);
+    })?;
+    for worker in 0..shared.workers {
+        let (shared, taken, running) = (shared.clone(), taken.clone(), permit());
+        thread(format!("shared-{worker}")).spawn(move || {
+            let (_running, shared) = (running, shared);
+            shared.run(&taken, worker == 0);
+        })?;
     }
     Ok(())
 }
@@ -48,7 +52,7 @@
 impl Shared {
     fn listen(&self, socket: &UdpSocket) {
         let mut bytes = [0; wire::MAX_DATAGRAM + 1];
-        loop {
+        while !self.stopping.load(Ordering::SeqCst) {
             match socket.recv_from(&mut bytes) {
                 Ok((length, from)) => {
                     self.counted.bytes("heard", length);
@@ -69,7 +73,7 @@
 
     /// A worker. The first one also does what is due.
     fn run(&self, taken: &Receiver<Work>, first: bool) {
-        loop {
+        while !self.stopping.load(Ordering::SeqCst) {
             let rest = if first { self.until_due() } else { LONGEST_REST };
             match taken.recv_timeout(rest) {
                 Ok(work) => self.work(work, first),
@@ -82,6 +86,24 @@
         }
     }
 
+    /// Whether all of its threads have ended.
+    pub fn ended(&self) -> bool {
+        self.running.load(Ordering::SeqCst) == 0
+    }
+
+    /// Has its threads end. What it holds lapses, unless it was given back before.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+        for _ in 0..self.workers {
+            // Full: none of them rests.
+            let _: Result<(), TrySendError<Work>> = self.work.try_send(Work::Wake);
+        }
+        // An empty datagram from itself wakes the thread that waits for one.
+        if let Err(e) = self.outbox.wake_reader() {
+            log::warn!(target: LOG_TARGET, "datagrams: {e}: a thread ends with the next that comes");
+        }
+    }
+
     fn until_due(&self) -> Duration {
         let due = self.due.load(Ordering::SeqCst);
         Duration::from_micros(due.saturating_sub(self.clock.now())).min(LONGEST_REST)
