Shared state: names of src/net/shared in the field's terms

Shelf is BudgetAccount; Far is RemoteMessage, with LoanRequest and LoanGranted, and handed_on is forwarded; Under is GrantAuthority; Unread is DatagramError; Alive is FailureDetector; LONGEST and WITHIN are MAX_DATAGRAM and MAX_PAYLOAD; what tells, hears, notes and takes is broadcast, receive, record. No byte of a datagram, no label of a counter and no line of the log changes.

--- a/src/net/shared/accounts.rs
+++ b/src/net/shared/accounts.rs
@@ -8,14 +8,14 @@
 
 /// What was asked of another region.
 #[derive(Clone, Copy)]
-struct LoanRequest {
+struct PendingLoan {
     number: u32,
     sent: Micros,
     claim: Claim,
 }
 
 /// A budget at its home, and what is known of what others have handed out.
-pub struct Shelf {
+pub struct BudgetAccount {
     pub name: String,
     pub slice: Slice,
     pub terms: Terms,
@@ -23,14 +23,14 @@
     bank: Option<(Epoch, Bank)>,
     tally: Tally,
     /// By region, the latest.
-    loan_requests: BTreeMap<Region, LoanRequest>,
+    loan_requests: BTreeMap<Region, PendingLoan>,
     number: u32,
     next_loan: Micros,
 }
 
-impl Shelf {
-    pub fn new(name: String, slice: Slice, terms: Terms, federated: bool) -> Shelf {
-        Shelf {
+impl BudgetAccount {
+    pub fn new(name: String, slice: Slice, terms: Terms, federated: bool) -> BudgetAccount {
+        BudgetAccount {
             name,
             slice,
             terms,
@@ -77,7 +77,7 @@
     pub fn request_loan(&mut self, region: Region, claim: Claim, now: Micros) -> u32 {
         self.number = self.number.wrapping_add(1);
         let number = self.number;
-        self.loan_requests.insert(region, LoanRequest { number, sent: now, claim });
+        self.loan_requests.insert(region, PendingLoan { number, sent: now, claim });
         number
     }
 
@@ -88,12 +88,12 @@
     }
 
     /// Takes in what a borrower, by its claim, has handed out in all.
-    pub fn hear_borrower(&mut self, claim: &Claim, issued: Amount) {
+    pub fn record_borrower(&mut self, claim: &Claim, issued: Amount) {
         self.tally.hear((claim.term, claim.region.0, claim.incarnation), issued);
     }
 
     /// Takes in what a lender has handed out in all.
-    pub fn hear_lender(&mut self, region: Region, lender: Sender, issued: Amount) {
+    pub fn record_lender(&mut self, region: Region, lender: Sender, issued: Amount) {
         self.tally.hear((0, region.0, lender.incarnation), issued);
     }
 }
--- a/src/net/shared/alive.rs
+++ b/src/net/shared/alive.rs
@@ -1,6 +1,6 @@
 //! Who of the region is alive, by SWIM (`foca`). What it is wrong about may cost a home, never safety.
 
-use super::wire::WITHIN;
+use super::wire::MAX_PAYLOAD;
 use foca::{AccumulatingRuntime, Config, Foca, Identity, NoCustomBroadcast, PostcardCodec, Timer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,7 +43,7 @@
     }
 }
 
-pub struct Alive {
+pub struct FailureDetector {
     foca: Foca<Id, PostcardCodec, SmallRng, NoCustomBroadcast>,
     runtime: AccumulatingRuntime<Id>,
     timers: BTreeMap<(Micros, u64), Timer<Id>>,
@@ -54,22 +54,28 @@
     turn: usize,
 }
 
-impl Alive {
-    pub fn new(me: Member, incarnation: Incarnation, others: Vec<Member>, seed: u64, now: Micros) -> Alive {
+impl FailureDetector {
+    pub fn new(
+        me: Member,
+        incarnation: Incarnation,
+        others: Vec<Member>,
+        seed: u64,
+        now: Micros,
+    ) -> FailureDetector {
         let size = NonZeroU32::new(others.len() as u32 + 1).unwrap_or(NonZeroU32::MIN);
         let mut config = Config::new_lan(size);
         config.probe_period = PROBE;
         config.probe_rtt = PROBE_WITHIN;
         config.suspect_to_down_after = SUSPECT;
         config.remove_down_after = Some(Duration::from_secs(30));
-        config.max_packet_size = NonZeroUsize::new(WITHIN).unwrap_or(NonZeroUsize::MIN);
+        config.max_packet_size = NonZeroUsize::new(MAX_PAYLOAD).unwrap_or(NonZeroUsize::MIN);
         config.notify_down_members = true;
         let id = Id { member: me.0, incarnation, bump: 0 };
         let foca = Foca::new(id, config, SmallRng::seed_from_u64(seed), PostcardCodec);
         let turn = if others.is_empty() { 0 } else { seed as usize % others.len() };
         // A fleet that starts in one second does not announce itself in one moment.
         let announce = now + seed % (ANNOUNCE / 4);
-        Alive {
+        FailureDetector {
             foca,
             runtime: AccumulatingRuntime::new(),
             timers: BTreeMap::new(),
@@ -139,7 +145,7 @@
     use super::*;
 
     struct Members {
-        alive: Vec<Option<Alive>>,
+        detectors: Vec<Option<FailureDetector>>,
         net: Vec<(Member, Vec<u8>)>,
     }
 
@@ -147,33 +153,34 @@
         fn start(&mut self, member: u16, now: Micros) {
             let others = (0..5).filter(|other| *other != member).map(Member).collect();
             let seed = u64::from(member) * 7_919 + now;
-            self.alive[usize::from(member)] = Some(Alive::new(Member(member), now + 1, others, seed, now));
+            self.detectors[usize::from(member)] =
+                Some(FailureDetector::new(Member(member), now + 1, others, seed, now));
         }
 
         fn run(&mut self, from: Micros, to: Micros) {
             for now in (from..to).step_by(10_000) {
                 for (to, bytes) in std::mem::take(&mut self.net) {
-                    assert!(bytes.len() <= WITHIN);
-                    if let Some(alive) = &mut self.alive[usize::from(to.0)] {
+                    assert!(bytes.len() <= MAX_PAYLOAD);
+                    if let Some(alive) = &mut self.detectors[usize::from(to.0)] {
                         alive.hear(now, &bytes, &mut self.net);
                     }
                 }
-                self.alive.iter_mut().flatten().for_each(|alive| alive.tick(now, &mut self.net));
+                self.detectors.iter_mut().flatten().for_each(|alive| alive.tick(now, &mut self.net));
             }
         }
 
         fn seen(&self) -> Vec<usize> {
-            self.alive.iter().flatten().map(|alive| alive.members().len()).collect()
+            self.detectors.iter().flatten().map(|alive| alive.members().len()).collect()
         }
     }
 
     #[test]
     fn all_find_one_another_and_who_dies_is_missed_and_who_comes_back_is_found() {
-        let mut members = Members { alive: (0..5).map(|_| None).collect(), net: Vec::new() };
+        let mut members = Members { detectors: (0..5).map(|_| None).collect(), net: Vec::new() };
         (0..5).for_each(|member| members.start(member, 0));
         members.run(0, 3_000_000);
         assert_eq!(members.seen(), [4; 5]);
-        members.alive[2] = None;
+        members.detectors[2] = None;
         members.run(3_000_000, 12_000_000);
         assert_eq!(members.seen(), [3; 4]);
         members.start(2, 12_000_000);
--- a/src/net/shared/grants.rs
+++ b/src/net/shared/grants.rs
@@ -1,35 +1,41 @@
 //! Amounts: asked for by this gateway's loop or by a neighbour, handed out by the budget's home, and taken in.
 
-use super::wire::{Body, Under};
-use super::{LOG_TARGET, Shared, lock, shown_of};
+use super::wire::{Body, GrantAuthority};
+use super::{LOG_TARGET, Shared, lock, optional_claim_fields};
 use sagearch_homes::message::Sender;
 use sagearch_homes::{Micros, Slice};
 use sagearch_ledger::{Ask, Grant, Terms};
 
 impl Shared {
     /// The slice and the terms of a budget.
-    pub(super) fn shelf(&self, budget: u8) -> Option<(Slice, Terms)> {
+    pub(super) fn budget_terms(&self, budget: u8) -> Option<(Slice, Terms)> {
         let ledger = lock(&self.ledger);
-        ledger.get(usize::from(budget)).map(|shelf| (shelf.slice, shelf.terms))
+        ledger.get(usize::from(budget)).map(|account| (account.slice, account.terms))
     }
 
     /// The loop wants more.
-    pub(super) fn wanted(&self, budget: u8, ask: Ask) {
-        let Some((slice, _)) = self.shelf(budget) else { return };
+    pub(super) fn request_grant(&self, budget: u8, ask: Ask) {
+        let Some((slice, _)) = self.budget_terms(budget) else { return };
         let now = self.clock.now();
         let own = self.directory.own();
         let to = lock(&self.homes).holder.belongs(slice);
         if to != own.member {
             return self.send(vec![(to, Body::Ask { budget, ask })]);
         }
-        if let Some((under, grant)) = self.hand_out(now, own, budget, ask) {
-            self.take(budget, grant, under);
+        if let Some((authority, grant)) = self.grant(now, own, budget, ask) {
+            self.receive_grant(budget, grant, authority);
         }
     }
 
     /// Hands out of a budget, as its home.
-    pub(super) fn hand_out(&self, now: Micros, who: Sender, budget: u8, ask: Ask) -> Option<(Under, Grant)> {
-        let (slice, _) = self.shelf(budget)?;
+    pub(super) fn grant(
+        &self,
+        now: Micros,
+        who: Sender,
+        budget: u8,
+        ask: Ask,
+    ) -> Option<(GrantAuthority, Grant)> {
+        let (slice, _) = self.budget_terms(budget)?;
         let homes = lock(&self.homes);
         let Some(epoch) = homes.holder.holds(now, slice) else {
             self.counted.lost("not_home");
@@ -39,10 +45,10 @@
         let claim = homes.principals.principal(now, slice, Some(epoch));
         let mut ledger = lock(&self.ledger);
         drop(homes);
-        let shelf = ledger.get_mut(usize::from(budget))?;
-        let claim = claim.filter(|_| shelf.federated);
-        let grant = shelf.bank(epoch, now).ask(now, (who.member.0, who.incarnation), ask)?;
-        let name = shelf.name.clone();
+        let account = ledger.get_mut(usize::from(budget))?;
+        let claim = claim.filter(|_| account.federated);
+        let grant = account.bank(epoch, now).ask(now, (who.member.0, who.incarnation), ask)?;
+        let name = account.name.clone();
         drop(ledger);
         // It may have been stopped since it looked: what leaves now would be of a home that was.
         let leaves = self.clock.now();
@@ -54,24 +60,24 @@
             target: LOG_TARGET,
             "acts slice={} epoch={epoch} {} at={} budget={name} to={} amount={}",
             slice.0,
-            shown_of(claim.as_ref()),
+            optional_claim_fields(claim.as_ref()),
             self.clock.unix_us(leaves),
             who.member.0,
             grant.amount,
         );
-        Some((Under { slice, epoch, claim }, grant))
+        Some((GrantAuthority { slice, epoch, claim }, grant))
     }
 
     /// An amount has come for this gateway.
-    pub(super) fn take(&self, budget: u8, grant: Grant, under: Under) {
-        let fenced = under.claim.is_some_and(|claim| self.floors.load().fenced(under.slice, &claim));
+    pub(super) fn receive_grant(&self, budget: u8, grant: Grant, authority: GrantAuthority) {
+        let fenced = authority.claim.is_some_and(|claim| self.floors.load().fenced(authority.slice, &claim));
         if fenced {
             return self.counted.lost("fenced_grants");
         }
         let Some(granted) = self.granted.get(usize::from(budget)) else {
             return self.counted.lost("out_of_place");
         };
-        if granted.try_send((grant, under)).is_err() {
+        if granted.try_send((grant, authority)).is_err() {
             self.counted.lost("grants_unheard");
         }
     }
--- a/src/net/shared/homes.rs
+++ b/src/net/shared/homes.rs
@@ -1,6 +1,6 @@
 //! The table of homes: which slices this gateway holds, which claims stand, who is alive, and whom to speak to elsewhere.
 
-use super::alive::Alive;
+use super::alive::FailureDetector;
 use crate::metrics::Counted;
 use sagearch_homes::holder::Holder;
 use sagearch_homes::{Claim, Epoch, Micros, Principals, Region, Slice};
@@ -18,7 +18,7 @@
 pub struct Homes {
     pub holder: Holder,
     pub principals: Principals,
-    pub alive: Alive,
+    pub alive: FailureDetector,
     /// By region.
     pub contacts: Vec<Contact>,
     pub majority: MajorityWatch,
--- a/src/net/shared/loans.rs
+++ b/src/net/shared/loans.rs
@@ -2,7 +2,7 @@
 
 use super::accounts::borrower;
 use super::outbox::Out;
-use super::wire::{Far, Loan};
+use super::wire::{Loan, RemoteMessage};
 use super::{Shared, lock};
 use sagearch_homes::message::{Claims, Sender, Told};
 use sagearch_homes::{Claim, Epoch, Micros, Region, Slice};
@@ -11,7 +11,7 @@
 impl Shared {
     /// Where the region's own rate does not do, a principal asks other regions for theirs. `attempts`: by region, which
     /// of its members is the one to ask.
-    pub(super) fn borrow(
+    pub(super) fn request_loans(
         &self,
         now: Micros,
         principal: &BTreeMap<Slice, Claim>,
@@ -20,22 +20,29 @@
     ) {
         let lenders = self.directory.other_regions().count() as u64;
         let mut ledger = lock(&self.ledger);
-        for (budget, shelf) in ledger.iter_mut().enumerate().filter(|(_, shelf)| shelf.federated) {
-            let Some(claim) = principal.get(&shelf.slice).copied() else { continue };
-            let Some((lacking, issued)) = shelf.lacking(now) else { continue };
+        for (budget, account) in ledger.iter_mut().enumerate().filter(|(_, account)| account.federated) {
+            let Some(claim) = principal.get(&account.slice).copied() else { continue };
+            let Some((lacking, issued)) = account.lacking(now) else { continue };
             for region in self.directory.other_regions() {
                 let attempt = attempts[usize::from(region.0)];
                 let Some(to) = self.directory.contact(region, attempt) else { continue };
-                let number = shelf.request_loan(region, claim, now);
+                let number = account.request_loan(region, claim, now);
                 let loan = Loan { budget: budget as u8, number, claim, rate: lacking / lenders, issued };
-                out.push((to, self.far(Far::Want(loan))));
+                out.push((to, self.remote(RemoteMessage::LoanRequest(loan))));
             }
         }
     }
 
     /// Another region's principal asks for a part of this region's rate.
-    pub(super) fn lend(&self, now: Micros, region: Region, from: Sender, handed_on: bool, request: Loan) {
-        let Some((slice, _)) = self.shelf(request.budget) else {
+    pub(super) fn receive_loan_request(
+        &self,
+        now: Micros,
+        region: Region,
+        from: Sender,
+        forwarded: bool,
+        request: Loan,
+    ) {
+        let Some((slice, _)) = self.budget_terms(request.budget) else {
             return self.counted.lost("out_of_place");
         };
         let (epoch, belongs) = {
@@ -43,34 +50,37 @@
             (homes.holder.holds(now, slice), homes.holder.belongs(slice))
         };
         let Some(epoch) = epoch else {
-            if !handed_on && belongs != self.directory.own().member {
-                self.send(vec![(belongs, self.handed_on(from, Far::Want(request)))]);
+            if !forwarded && belongs != self.directory.own().member {
+                self.send(vec![(belongs, self.forwarded(from, RemoteMessage::LoanRequest(request)))]);
             }
             return;
         };
         let told = Told { slice, claim: request.claim, age: Some(0) };
-        let (answer, mut out) = self.hear(now, region, &Claims(vec![told]));
+        let (answer, mut out) = self.receive_claims(now, region, &Claims(vec![told]));
         // A claim that has lost borrows nothing.
-        let answer = answer.map_or_else(|| Far::Lent(self.grant_loan(now, epoch, request)), Far::Claims);
-        out.push((from.member, self.far(answer)));
+        let answer = answer.map_or_else(
+            || RemoteMessage::LoanGranted(self.grant_loan(now, epoch, request)),
+            RemoteMessage::Claims,
+        );
+        out.push((from.member, self.remote(answer)));
         self.send(out);
     }
 
     /// What is lent of what was asked for; the other has it until its end by the clocks of both.
     fn grant_loan(&self, now: Micros, epoch: Epoch, request: Loan) -> Loan {
         let mut ledger = lock(&self.ledger);
-        let shelf = &mut ledger[usize::from(request.budget)];
-        shelf.hear_borrower(&request.claim, request.issued);
+        let account = &mut ledger[usize::from(request.budget)];
+        account.record_borrower(&request.claim, request.issued);
         let drift = u64::from(1_000 + self.rules.drift);
-        let lasts = (shelf.terms.lasts * drift * drift).div_ceil(1_000_000);
-        let bank = shelf.bank(epoch, now);
+        let lasts = (account.terms.lasts * drift * drift).div_ceil(1_000_000);
+        let bank = account.bank(epoch, now);
         let rate = bank.lend(now, borrower(&request.claim), request.rate, lasts);
         Loan { rate, issued: bank.issued(), ..request }
     }
 
     /// Another region has lent. It counts where it answers the latest request, under a claim that still stands.
-    pub(super) fn lent(&self, now: Micros, region: Region, from: Sender, loan: Loan) {
-        let Some((slice, _)) = self.shelf(loan.budget) else {
+    pub(super) fn receive_loan(&self, now: Micros, region: Region, from: Sender, loan: Loan) {
+        let Some((slice, _)) = self.budget_terms(loan.budget) else {
             return self.counted.lost("out_of_place");
         };
         let homes = lock(&self.homes);
@@ -78,12 +88,12 @@
         let stands = homes.principals.principal(now, slice, Some(epoch)) == Some(loan.claim);
         let mut ledger = lock(&self.ledger);
         drop(homes);
-        let shelf = &mut ledger[usize::from(loan.budget)];
-        shelf.hear_lender(region, from, loan.issued);
-        let requested = shelf.loan_requested(region, loan.number, loan.claim).filter(|_| stands);
+        let account = &mut ledger[usize::from(loan.budget)];
+        account.record_lender(region, from, loan.issued);
+        let requested = account.loan_requested(region, loan.number, loan.claim).filter(|_| stands);
         if let Some(requested) = requested {
-            let until = requested + shelf.terms.lasts;
-            shelf.bank(epoch, now).borrow(now, u64::from(region.0), loan.rate, until);
+            let until = requested + account.terms.lasts;
+            account.bank(epoch, now).borrow(now, u64::from(region.0), loan.rate, until);
         }
     }
 }
--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -32,7 +32,7 @@
 use super::clock::Clock;
 use crate::interface::Allowance;
 use crate::metrics::Counted;
-use accounts::Shelf;
+use accounts::BudgetAccount;
 use arc_swap::ArcSwap;
 use crossbeam_channel::Sender;
 use directory::Directory;
@@ -43,7 +43,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, PoisonError};
 use tracing_mutex::stdsync::{Mutex, MutexGuard};
-use wire::Under;
+use wire::GrantAuthority;
 use workers::Work;
 
 /// All of these modules log under one name: the laboratory's checker and operators' filters know it.
@@ -52,15 +52,15 @@
 pub struct Shared {
     clock: Clock,
     /// Of the fleet's name.
-    mark: u32,
+    fleet_tag: u32,
     directory: Directory,
     rules: Rules,
     homes: Mutex<Homes>,
-    ledger: Mutex<Vec<Shelf>>,
+    ledger: Mutex<Vec<BudgetAccount>>,
     outbox: Outbox,
     floors: Arc<ArcSwap<Floors>>,
     /// By budget, to the loop.
-    granted: Vec<Sender<(Grant, Under)>>,
+    granted: Vec<Sender<(Grant, GrantAuthority)>>,
     counted: Arc<Counted>,
     /// When the first worker has to look again.
     due: AtomicU64,
@@ -85,12 +85,12 @@
 }
 
 /// A claim in a line of the log.
-fn shown(claim: &Claim) -> String {
+fn claim_fields(claim: &Claim) -> String {
     let Claim { term, region, epoch, incarnation, .. } = claim;
     format!("term={term} region={} claim-epoch={epoch} incarnation={incarnation}", region.0)
 }
 
 /// The same of what need not have one.
-fn shown_of(claim: Option<&Claim>) -> String {
-    claim.map_or_else(|| "term=0".into(), shown)
+fn optional_claim_fields(claim: Option<&Claim>) -> String {
+    claim.map_or_else(|| "term=0".into(), claim_fields)
 }
--- a/src/net/shared/outbox.rs
+++ b/src/net/shared/outbox.rs
@@ -46,8 +46,8 @@
         for (to, body) in out {
             let bytes = match wire::encode(self.fleet, self.incarnation, body) {
                 Ok(bytes) => bytes,
-                Err(unread) => {
-                    self.counted.lost(unread.label());
+                Err(error) => {
+                    self.counted.lost(error.label());
                     continue;
                 }
             };
--- a/src/net/shared/periodic.rs
+++ b/src/net/shared/periodic.rs
@@ -28,7 +28,7 @@
         self.counted.homes.set(held.len() as i64);
         self.watch_majority(now, &mut homes, held.is_empty());
         let (claims, claimed) = homes.principals.tick(now, &held);
-        self.tell_regions(&mut homes, claims, &mut out);
+        self.broadcast_claims(&mut homes, claims, &mut out);
         if !claimed.is_empty() {
             self.publish(&homes);
         }
@@ -38,8 +38,8 @@
         drop(homes);
         out.extend(alive.into_iter().map(|(to, bytes)| (to, Body::Alive(bytes))));
         out.extend(leases.into_iter().map(|(to, message)| (to, Body::Lease(message))));
-        self.borrow(now, &principal, &attempts, &mut out);
-        out.extend(self.note(now, changes, claimed));
+        self.request_loans(now, &principal, &attempts, &mut out);
+        out.extend(self.record(now, changes, claimed));
         self.send(out);
     }
 
--- a/src/net/shared/record.rs
+++ b/src/net/shared/record.rs
@@ -2,7 +2,7 @@
 
 use super::outbox::Out;
 use super::wire::Body;
-use super::{LOG_TARGET, Shared, lock, shown};
+use super::{LOG_TARGET, Shared, claim_fields, lock};
 use sagearch_homes::claims::Change as Claimed;
 use sagearch_homes::holder::{Change, Why};
 use sagearch_homes::message::{Claims, Told};
@@ -10,12 +10,12 @@
 
 impl Shared {
     /// Records what has changed. Returns what others are to be told of it.
-    pub(super) fn note(&self, now: Micros, changes: Vec<Change>, claims: Vec<Claimed>) -> Out {
-        self.note_leases(now, changes);
-        self.note_claims(now, claims)
+    pub(super) fn record(&self, now: Micros, changes: Vec<Change>, claims: Vec<Claimed>) -> Out {
+        self.record_leases(now, changes);
+        self.record_claims(now, claims)
     }
 
-    pub(super) fn note_leases(&self, now: Micros, changes: Vec<Change>) {
+    pub(super) fn record_leases(&self, now: Micros, changes: Vec<Change>) {
         if changes.is_empty() {
             return;
         }
@@ -27,8 +27,8 @@
                 Change::Gained(slice, epoch) => {
                     gained += 1;
                     log::debug!(target: LOG_TARGET, "gained slice={} epoch={epoch} at={at}", slice.0);
-                    let shelves = ledger.iter_mut().filter(|shelf| shelf.slice == slice);
-                    shelves.for_each(|shelf| shelf.open(epoch, now));
+                    let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
+                    accounts.for_each(|account| account.open(epoch, now));
                 }
                 Change::Lost(slice, epoch, why) => {
                     match why {
@@ -36,8 +36,8 @@
                         Why::Lapsed => lapsed += 1,
                     }
                     log::debug!(target: LOG_TARGET, "lost slice={} epoch={epoch} at={at}", slice.0);
-                    let shelves = ledger.iter_mut().filter(|shelf| shelf.slice == slice);
-                    shelves.for_each(|shelf| shelf.close());
+                    let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
+                    accounts.for_each(|account| account.close());
                 }
             }
         }
@@ -50,7 +50,7 @@
         }
     }
 
-    pub(super) fn note_claims(&self, now: Micros, changes: Vec<Claimed>) -> Out {
+    pub(super) fn record_claims(&self, now: Micros, changes: Vec<Claimed>) -> Out {
         let mut out = Out::new();
         let at = self.clock.unix_us(now);
         let (mut claimed, mut left) = (0_u64, 0_u64);
@@ -58,15 +58,15 @@
             match change {
                 Claimed::Claimed(slice, claim) => {
                     claimed += 1;
-                    log::debug!(target: LOG_TARGET, "claimed slice={} {} at={at}", slice.0, shown(&claim));
+                    log::debug!(target: LOG_TARGET, "claimed slice={} {} at={at}", slice.0, claim_fields(&claim));
                 }
                 Claimed::Left(slice, claim) => {
                     left += 1;
-                    log::debug!(target: LOG_TARGET, "left slice={} {} at={at}", slice.0, shown(&claim));
+                    log::debug!(target: LOG_TARGET, "left slice={} {} at={at}", slice.0, claim_fields(&claim));
                 }
-                Claimed::Split { slice, lost, won } => self.note_split(at, slice, &lost, &won),
+                Claimed::Split { slice, lost, won } => self.record_split(at, slice, &lost, &won),
                 Claimed::Fenced { slice, lost, won } => {
-                    self.note_fenced(at, slice, &lost, &won);
+                    self.record_fenced(at, slice, &lost, &won);
                     out.extend(self.fence_neighbours(slice, won));
                 }
             }
@@ -78,7 +78,7 @@
         out
     }
 
-    fn note_split(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+    fn record_split(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
         self.counted.change("split", 1);
         let [lost_by, won_by] = [lost, won].map(|claim| self.directory.region_name(claim.region));
         log::warn!(
@@ -90,20 +90,20 @@
             target: LOG_TARGET,
             "split slice={} lost {} won {} at={at}",
             slice.0,
-            shown(lost),
-            shown(won)
+            claim_fields(lost),
+            claim_fields(won)
         );
     }
 
-    fn note_fenced(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
+    fn record_fenced(&self, at: u64, slice: Slice, lost: &Claim, won: &Claim) {
         self.counted.change("fenced", 1);
         log::warn!(target: LOG_TARGET, "fenced: this gateway's claim on slice {} has lost", slice.0);
         log::debug!(
             target: LOG_TARGET,
             "fenced slice={} lost {} won {} at={at}",
             slice.0,
-            shown(lost),
-            shown(won)
+            claim_fields(lost),
+            claim_fields(won)
         );
     }
 
--- a/src/net/shared/regions.rs
+++ b/src/net/shared/regions.rs
@@ -2,7 +2,7 @@
 
 use super::homes::Homes;
 use super::outbox::Out;
-use super::wire::{Body, Far};
+use super::wire::{Body, RemoteMessage};
 use super::{Shared, lock};
 use sagearch_homes::message::{Claims, Sender, Told};
 use sagearch_homes::{Member, Micros, Region};
@@ -10,18 +10,18 @@
 
 impl Shared {
     /// A message of this gateway's own to another region.
-    pub(super) fn far(&self, far: Far) -> Body {
+    pub(super) fn remote(&self, message: RemoteMessage) -> Body {
         let Sender { member, incarnation } = self.directory.own();
-        Body::Far { from: member.0, incarnation, handed_on: false, far }
+        Body::Remote { from: member.0, incarnation, forwarded: false, message }
     }
 
     /// Another's message, handed on within this region.
-    pub(super) fn handed_on(&self, from: Sender, far: Far) -> Body {
-        Body::Far { from: from.member.0, incarnation: from.incarnation, handed_on: true, far }
+    pub(super) fn forwarded(&self, from: Sender, message: RemoteMessage) -> Body {
+        Body::Remote { from: from.member.0, incarnation: from.incarnation, forwarded: true, message }
     }
 
     /// Sends claims to one member of each other region: to the next one where nothing was heard since the last time.
-    pub(super) fn tell_regions(&self, homes: &mut Homes, claims: Vec<Claims>, out: &mut Out) {
+    pub(super) fn broadcast_claims(&self, homes: &mut Homes, claims: Vec<Claims>, out: &mut Out) {
         if claims.is_empty() {
             return;
         }
@@ -29,30 +29,44 @@
             let contact = &mut homes.contacts[usize::from(region.0)];
             contact.attempt += usize::from(!std::mem::take(&mut contact.heard));
             let Some(to) = self.directory.contact(region, contact.attempt) else { continue };
-            out.extend(claims.iter().map(|claims| (to, self.far(Far::Claims(claims.clone())))));
+            out.extend(claims.iter().map(|claims| (to, self.remote(RemoteMessage::Claims(claims.clone())))));
         }
     }
 
-    pub(super) fn hear_far(&self, now: Micros, region: Region, from: Sender, handed_on: bool, far: Far) {
+    pub(super) fn receive_remote(
+        &self,
+        now: Micros,
+        region: Region,
+        from: Sender,
+        forwarded: bool,
+        message: RemoteMessage,
+    ) {
         lock(&self.homes).heard(region);
-        match far {
-            Far::Claims(claims) => self.hear_claims(now, region, from, handed_on, claims),
-            Far::Want(loan) => self.lend(now, region, from, handed_on, loan),
-            Far::Lent(loan) => self.lent(now, region, from, loan),
+        match message {
+            RemoteMessage::Claims(claims) => self.receive_remote_claims(now, region, from, forwarded, claims),
+            RemoteMessage::LoanRequest(loan) => self.receive_loan_request(now, region, from, forwarded, loan),
+            RemoteMessage::LoanGranted(loan) => self.receive_loan(now, region, from, loan),
         }
     }
 
-    fn hear_claims(&self, now: Micros, region: Region, from: Sender, handed_on: bool, claims: Claims) {
-        let (answer, mut out) = self.hear(now, region, &claims);
-        out.extend(answer.map(|answer| (from.member, self.far(Far::Claims(answer)))));
-        if !handed_on {
-            out.extend(self.hand_on_claims(from, claims));
+    fn receive_remote_claims(
+        &self,
+        now: Micros,
+        region: Region,
+        from: Sender,
+        forwarded: bool,
+        claims: Claims,
+    ) {
+        let (answer, mut out) = self.receive_claims(now, region, &claims);
+        out.extend(answer.map(|answer| (from.member, self.remote(RemoteMessage::Claims(answer)))));
+        if !forwarded {
+            out.extend(self.forward_claims(from, claims));
         }
         self.send(out);
     }
 
     /// To the homes of their slices in this region.
-    fn hand_on_claims(&self, from: Sender, claims: Claims) -> Out {
+    fn forward_claims(&self, from: Sender, claims: Claims) -> Out {
         let homes = lock(&self.homes);
         let mut by_home: BTreeMap<Member, Vec<Told>> = BTreeMap::new();
         for told in claims.0 {
@@ -60,7 +74,7 @@
         }
         drop(homes);
         by_home.remove(&self.directory.own().member);
-        let hand_on = |(to, told)| (to, self.handed_on(from, Far::Claims(Claims(told))));
-        by_home.into_iter().map(hand_on).collect()
+        let forward = |(to, told)| (to, self.forwarded(from, RemoteMessage::Claims(Claims(told))));
+        by_home.into_iter().map(forward).collect()
     }
 }
--- a/src/net/shared/spend.rs
+++ b/src/net/shared/spend.rs
@@ -1,7 +1,7 @@
 //! A shared budget as the one loop sees it. It waits for no lock: what was handed out comes by a bounded channel, what it
 //! wants goes by another, and fences are read from a published snapshot.
 
-use super::wire::Under;
+use super::wire::GrantAuthority;
 use crate::interface::{Allowance, Micros, Paid};
 use crate::net::clock::Clock;
 use arc_swap::ArcSwap;
@@ -12,7 +12,7 @@
 
 /// What the loop tells the pool.
 #[derive(Clone, Copy, Debug)]
-pub struct Wanted {
+pub struct GrantWanted {
     pub budget: u8,
     pub ask: Ask,
 }
@@ -20,10 +20,10 @@
 pub struct SharedBudget {
     pub budget: u8,
     pub slice: Slice,
-    pub purse: Purse<Under>,
+    pub purse: Purse<GrantAuthority>,
     /// A full one loses the ask: it is asked again, as if the datagram were lost.
     pub wanted: Sender<super::workers::Work>,
-    pub granted: Receiver<(Grant, Under)>,
+    pub granted: Receiver<(Grant, GrantAuthority)>,
     pub floors: Arc<ArcSwap<Floors>>,
     pub clock: Clock,
     pub counted: Arc<crate::metrics::Counted>,
@@ -32,12 +32,13 @@
 impl SharedBudget {
     /// Takes in what has come before it asks for more: an answer to an ask that is not the latest counts for nothing.
     fn ask(&mut self, now: Micros) {
-        while let Ok((grant, under)) = self.granted.try_recv() {
-            self.purse.take(now, grant, under);
+        while let Ok((grant, authority)) = self.granted.try_recv() {
+            self.purse.take(now, grant, authority);
         }
         if let Some(ask) = self.purse.ask(now) {
-            let told =
-                self.wanted.try_send(super::workers::Work::Wanted(Wanted { budget: self.budget, ask }));
+            let told = self
+                .wanted
+                .try_send(super::workers::Work::RequestGrant(GrantWanted { budget: self.budget, ask }));
             if told.is_err() {
                 self.counted.lost("asks_unheard");
             }
@@ -58,7 +59,9 @@
     fn spend(&mut self, now: Micros) -> Option<Paid> {
         self.ask(now);
         let floors = self.floors.load();
-        let fenced = |under: &Under| under.claim.is_some_and(|claim| floors.fenced(under.slice, &claim));
+        let fenced = |authority: &GrantAuthority| {
+            authority.claim.is_some_and(|claim| floors.fenced(authority.slice, &claim))
+        };
         let spent = self.purse.spend(now, fenced);
         drop(floors);
         let claim = match spent {
@@ -70,15 +73,15 @@
                 self.counted.spent("floor");
                 None
             }
-            Some(Spent::Leased(under)) => {
+            Some(Spent::Leased(authority)) => {
                 self.counted.spent("leased");
-                under.claim
+                authority.claim
             }
         };
         log::debug!(
             "spends slice={} {} at={}",
             self.slice.0,
-            super::shown_of(claim.as_ref()),
+            super::optional_claim_fields(claim.as_ref()),
             self.clock.unix_us(now),
         );
         Some(Paid { slice: self.slice, claim })
--- a/src/net/shared/start.rs
+++ b/src/net/shared/start.rs
@@ -1,7 +1,7 @@
 //! Builds the tables from what operators state, and starts the threads.
 
-use super::accounts::Shelf;
-use super::alive::Alive;
+use super::accounts::BudgetAccount;
+use super::alive::FailureDetector;
 use super::directory::Directory;
 use super::homes::{Contact, Homes, MajorityWatch};
 use super::outbox::Outbox;
@@ -54,37 +54,37 @@
     let socket = Arc::new(UdpSocket::bind(listen.unwrap_or(member.address))?);
     // The least epoch that can be new, and an incarnation: Unix time in microseconds.
     let own = Sender { member: Member(member.number), incarnation: clock.unix_us(now) };
-    let founding = Founding { fleet, region: &fleet.regions[at], at: Region(at as u8), own, now };
-    let floors = Arc::new(ArcSwap::from_pointee(Floors::new(founding.regions(), fleet.slices)));
+    let setup = Setup { fleet, region: &fleet.regions[at], at: Region(at as u8), own, now };
+    let floors = Arc::new(ArcSwap::from_pointee(Floors::new(setup.regions(), fleet.slices)));
     let (work, taken) = bounded(WAITING);
     let counted = Arc::new(counted);
     let (mut ledger, mut granted, mut budgets) = (Vec::new(), Vec::new(), Vec::<Box<dyn Allowance>>::new());
     for (number, budget) in fleet.budgets.iter().enumerate() {
-        let shelf = founding.shelf(budget)?;
+        let account = setup.account(budget)?;
         let (sender, receiver) = bounded(GRANTS);
         granted.push(sender);
         budgets.push(Box::new(SharedBudget {
             budget: number as u8,
-            slice: shelf.slice,
-            purse: Purse::new(shelf.terms, own.incarnation, now),
+            slice: account.slice,
+            purse: Purse::new(account.terms, own.incarnation, now),
             wanted: work.clone(),
             granted: receiver,
             floors: floors.clone(),
             clock,
             counted: counted.clone(),
         }));
-        ledger.push(shelf);
+        ledger.push(account);
     }
-    let mark = wire::mark(&fleet.name);
+    let fleet_tag = wire::fleet_tag(&fleet.name);
     let rate = u64::from(fleet.rate);
     let shared = Arc::new(Shared {
         clock,
-        mark,
-        directory: Directory::new(fleet, own, founding.at),
-        rules: founding.rules(),
-        homes: Mutex::new(founding.homes(seed)),
+        fleet_tag,
+        directory: Directory::new(fleet, own, setup.at),
+        rules: setup.rules(),
+        homes: Mutex::new(setup.homes(seed)),
         ledger: Mutex::new(ledger),
-        outbox: Outbox::new(socket.clone(), clock, mark, own.incarnation, rate, counted.clone()),
+        outbox: Outbox::new(socket.clone(), clock, fleet_tag, own.incarnation, rate, counted.clone()),
         floors,
         granted,
         counted,
@@ -93,13 +93,13 @@
         random: AtomicU64::new(seed),
     });
     workers::spawn(&shared, socket, &taken, fleet.workers)?;
-    let region = &founding.region.name;
+    let region = &setup.region.name;
     log::info!(target: LOG_TARGET, "member {} of fleet {:?}, in region {region:?}", member.number, fleet.name);
     Ok(Some(Started { budgets, shared }))
 }
 
 /// What the tables are made of.
-struct Founding<'a> {
+struct Setup<'a> {
     fleet: &'a Fleet,
     region: &'a fleet::Region,
     at: Region,
@@ -107,7 +107,7 @@
     now: Micros,
 }
 
-impl Founding<'_> {
+impl Setup<'_> {
     fn rules(&self) -> Rules {
         Rules { slices: self.fleet.slices, lease: self.fleet.lease * 1_000, drift: self.fleet.drift }
     }
@@ -126,17 +126,17 @@
         Homes {
             holder: Holder::new(self.rules(), self.own, voters, self.now, incarnation),
             principals: Principals::new(self.at, regions, slices, claim, incarnation),
-            alive: Alive::new(member, incarnation, others, mix(seed ^ ALIVE_SEED), self.now),
+            alive: FailureDetector::new(member, incarnation, others, mix(seed ^ ALIVE_SEED), self.now),
             contacts: vec![Contact::default(); self.fleet.regions.len()],
             majority: MajorityWatch::default(),
         }
     }
 
-    fn shelf(&self, budget: &fleet::Budget) -> io::Result<Shelf> {
+    fn account(&self, budget: &fleet::Budget) -> io::Result<BudgetAccount> {
         let terms = self.terms(budget)?;
         let slice = self.rules().slice(crate::hash::text(&budget.name));
         let federated = budget.federated && self.fleet.regions.len() > 1;
-        Ok(Shelf::new(budget.name.clone(), slice, terms, federated))
+        Ok(BudgetAccount::new(budget.name.clone(), slice, terms, federated))
     }
 
     /// A federation's budget is each region's by its members; what one does not need it lends.
--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -6,9 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 /// The longest datagram that gateways may send.
-pub const LONGEST: usize = 256;
+pub const MAX_DATAGRAM: usize = 256;
 /// What is left of it for others' bytes.
-pub const WITHIN: usize = 220;
+pub const MAX_PAYLOAD: usize = 220;
 const VERSION: u8 = 1;
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,11 +28,11 @@
     /// To members of the own region: claims that have lost, above all.
     Fence(Claims),
     /// To another region. Who gets it and is not the slice's home hands it on, once.
-    Far {
+    Remote {
         from: u16,
         incarnation: Incarnation,
-        handed_on: bool,
-        far: Far,
+        forwarded: bool,
+        message: RemoteMessage,
     },
     Ask {
         budget: u8,
@@ -40,17 +40,17 @@
     },
     Grant {
         budget: u8,
-        under: Under,
+        authority: GrantAuthority,
         grant: Grant,
     },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Far {
+pub enum RemoteMessage {
     Claims(Claims),
     /// A principal asks for a part of another region's rate.
-    Want(Loan),
-    Lent(Loan),
+    LoanRequest(Loan),
+    LoanGranted(Loan),
 }
 
 /// A part of a region's rate: what is asked for, or what is lent.
@@ -65,9 +65,9 @@
     pub issued: Amount,
 }
 
-/// Under what an amount was handed out.
+/// The home's lease, and its region's claim, by which an amount was handed out: void once the claim is fenced.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Under {
+pub struct GrantAuthority {
     pub slice: Slice,
     pub epoch: Epoch,
     pub claim: Option<Claim>,
@@ -75,48 +75,49 @@
 
 /// What was wrong with a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unread {
+pub enum DatagramError {
     TooLong,
     Unreadable,
     OtherVersion,
     OtherFleet,
 }
 
-impl Unread {
+impl DatagramError {
     pub fn label(self) -> &'static str {
         match self {
-            Unread::TooLong => "too_long",
-            Unread::Unreadable => "unreadable",
-            Unread::OtherVersion => "other_version",
-            Unread::OtherFleet => "other_fleet",
+            DatagramError::TooLong => "too_long",
+            DatagramError::Unreadable => "unreadable",
+            DatagramError::OtherVersion => "other_version",
+            DatagramError::OtherFleet => "other_fleet",
         }
     }
 }
 
 /// A fleet's mark, from its name.
-pub fn mark(name: &str) -> u32 {
+pub fn fleet_tag(name: &str) -> u32 {
     crate::hash::text(name) as u32
 }
 
-pub fn encode(fleet: u32, incarnation: Incarnation, body: Body) -> Result<Vec<u8>, Unread> {
+pub fn encode(fleet: u32, incarnation: Incarnation, body: Body) -> Result<Vec<u8>, DatagramError> {
     let datagram = Datagram { version: VERSION, fleet, incarnation, body };
-    let bytes = postcard::to_stdvec(&datagram).map_err(|_| Unread::Unreadable)?;
-    if bytes.len() > LONGEST { Err(Unread::TooLong) } else { Ok(bytes) }
+    let bytes = postcard::to_stdvec(&datagram).map_err(|_| DatagramError::Unreadable)?;
+    if bytes.len() > MAX_DATAGRAM { Err(DatagramError::TooLong) } else { Ok(bytes) }
 }
 
-pub fn decode(fleet: u32, bytes: &[u8]) -> Result<Datagram, Unread> {
-    if bytes.len() > LONGEST {
-        return Err(Unread::TooLong);
+pub fn decode(fleet: u32, bytes: &[u8]) -> Result<Datagram, DatagramError> {
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(DatagramError::TooLong);
     }
     // What follows may mean something else in another version.
     if bytes.first() != Some(&VERSION) {
-        return Err(Unread::OtherVersion);
+        return Err(DatagramError::OtherVersion);
     }
-    let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).map_err(|_| Unread::Unreadable)?;
+    let (datagram, rest) =
+        postcard::take_from_bytes::<Datagram>(bytes).map_err(|_| DatagramError::Unreadable)?;
     if datagram.fleet != fleet {
-        return Err(Unread::OtherFleet);
+        return Err(DatagramError::OtherFleet);
     }
-    if rest.is_empty() { Ok(datagram) } else { Err(Unread::Unreadable) }
+    if rest.is_empty() { Ok(datagram) } else { Err(DatagramError::Unreadable) }
 }
 
 #[cfg(test)]
@@ -136,33 +137,33 @@
 
     /// With numbers as large as they come in some hundred years.
     #[rstest]
-    #[case::alive(Body::Alive(vec![7; WITHIN]))]
+    #[case::alive(Body::Alive(vec![7; MAX_PAYLOAD]))]
     #[case::ask(Body::Lease(Leases::Ask { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES] }))]
     #[case::granted(Body::Lease(Leases::Granted {
         to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES]
     }))]
     #[case::denied(Body::Lease(Leases::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); DENIALS] }))]
     #[case::fence(Body::Fence(told()))]
-    #[case::claims(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Claims(told()) })]
-    #[case::lent(Body::Far { from: 999, incarnation: 1 << 53, handed_on: true, far: Far::Lent(Loan {
+    #[case::claims(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::Claims(told()) })]
+    #[case::lent(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::LoanGranted(Loan {
         budget: 9, number: u32::MAX, claim: CLAIM, rate: u64::MAX, issued: u64::MAX
     }) })]
     #[case::grant(Body::Grant {
         budget: 9,
-        under: Under { slice: LAST, epoch: 1 << 53, claim: Some(CLAIM) },
+        authority: GrantAuthority { slice: LAST, epoch: 1 << 53, claim: Some(CLAIM) },
         grant: Grant { to: 1 << 53, number: u32::MAX, amount: u64::MAX },
     })]
     fn the_largest_of_each_fits_and_comes_back(#[case] body: Body) {
         let bytes = encode(7, 1 << 53, body.clone()).unwrap();
         assert_eq!(decode(7, &bytes).unwrap().body, body);
-        assert_eq!(decode(8, &bytes), Err(Unread::OtherFleet));
-        assert_eq!(decode(7, &bytes[..bytes.len() - 1]), Err(Unread::Unreadable));
+        assert_eq!(decode(8, &bytes), Err(DatagramError::OtherFleet));
+        assert_eq!(decode(7, &bytes[..bytes.len() - 1]), Err(DatagramError::Unreadable));
         let mut longer = bytes.clone();
         longer.push(0);
         assert!(decode(7, &longer).is_err());
         let mut other = bytes;
         other[0] = 2;
-        assert_eq!(decode(7, &other), Err(Unread::OtherVersion));
+        assert_eq!(decode(7, &other), Err(DatagramError::OtherVersion));
     }
 
     const SMALL: Claim = Claim { term: 3, region: Region(5), epoch: 6, incarnation: 8, handed_over: true };
@@ -175,13 +176,13 @@
     #[case::denied(Body::Lease(Leases::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
     #[case::released(Body::Lease(Leases::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
     #[case::fence(Body::Fence(Claims(vec![Told { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
-    #[case::claims(Body::Far { from: 9, incarnation: 10, handed_on: false, far: Far::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
-    #[case::want(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Want(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
-    #[case::lent(Body::Far { from: 9, incarnation: 10, handed_on: true, far: Far::Lent(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::claims(Body::Remote { from: 9, incarnation: 10, forwarded: false, message: RemoteMessage::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
+    #[case::want(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanRequest(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+    #[case::lent(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanGranted(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
     #[case::ask(Body::Ask { budget: 1, ask: Ask { number: 2, want: 7 } }, &[4, 1, 2, 7])]
     #[case::grant(Body::Grant {
         budget: 1,
-        under: Under { slice: Slice(4), epoch: 6, claim: Some(SMALL) },
+        authority: GrantAuthority { slice: Slice(4), epoch: 6, claim: Some(SMALL) },
         grant: Grant { to: 10, number: 2, amount: 7 },
     }, &[5, 1, 4, 6, 1, 3, 5, 6, 8, 1, 10, 2, 7])]
     fn the_bytes_of_a_version_stay(#[case] body: Body, #[case] bytes: &[u8]) {
--- a/src/net/shared/workers.rs
+++ b/src/net/shared/workers.rs
@@ -1,6 +1,6 @@
 //! The threads: one that reads datagrams, and a pool that works on them. The pool's first worker also does what is due.
 
-use super::spend::Wanted;
+use super::spend::GrantWanted;
 use super::{LOG_TARGET, Shared, lock, wire};
 use crossbeam_channel::{Receiver, RecvTimeoutError, TrySendError};
 use sagearch_homes::Micros;
@@ -22,7 +22,7 @@
 /// What a worker is given.
 pub enum Work {
     Datagram(SocketAddr, Vec<u8>),
-    Wanted(Wanted),
+    RequestGrant(GrantWanted),
     /// Something is due earlier than was thought.
     Wake,
     Leave,
@@ -47,7 +47,7 @@
 
 impl Shared {
     fn listen(&self, socket: &UdpSocket) {
-        let mut bytes = [0; wire::LONGEST + 1];
+        let mut bytes = [0; wire::MAX_DATAGRAM + 1];
         loop {
             match socket.recv_from(&mut bytes) {
                 Ok((length, from)) => {
@@ -89,8 +89,8 @@
 
     fn work(&self, work: Work, first: bool) {
         match work {
-            Work::Datagram(from, bytes) => self.datagram(from, &bytes),
-            Work::Wanted(Wanted { budget, ask }) => self.wanted(budget, ask),
+            Work::Datagram(from, bytes) => self.receive_datagram(from, &bytes),
+            Work::RequestGrant(GrantWanted { budget, ask }) => self.request_grant(budget, ask),
             Work::Wake => {}
             Work::Leave => self.leave(),
         }
