--- a/crates/homes/src/claims.rs
+++ b/crates/homes/src/claims.rs
@@ -11,9 +11,9 @@
 //! What a claim has lost against is kept as a floor that only rises ([`Floors`]). It is a maximum, so messages may be
 //! lost, late, doubled or in any order, and an old one can't lift it.
 
-use crate::message::{CLAIMS, Claims, Told};
-use crate::place::rank;
-use crate::{Epoch, Incarnation, LEAP, Micros, Region, Slice, place};
+use crate::message::{ClaimStatus, Claims, MAX_CLAIMS};
+use crate::placement::rank;
+use crate::{Epoch, Incarnation, MAX_ADVANCE, Micros, Region, Slice, placement};
 use serde::{Deserialize, Serialize};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BTreeMap;
@@ -29,7 +29,7 @@
 }
 
 /// Which of two claims on a slice wins.
-pub fn order(slice: Slice, one: &Claim, other: &Claim, regions: &[Region]) -> Ordering {
+pub fn compare(slice: Slice, one: &Claim, other: &Claim, regions: &[Region]) -> Ordering {
     let standing = |claim: &Claim| {
         (claim.term, Reverse(rank(slice, claim.region, regions)), claim.epoch, claim.incarnation)
     };
@@ -40,7 +40,7 @@
 pub struct Floor {
     pub claim: Claim,
     /// When the claimant was last known to stand by it; `None`: it has given it up.
-    pub fresh: Option<Micros>,
+    pub last_confirmed: Option<Micros>,
     /// When this was heard first.
     pub since: Micros,
 }
@@ -80,38 +80,46 @@
 
     /// Whether what carries this claim counts for nothing any more.
     pub fn fenced(&self, slice: Slice, claim: &Claim) -> bool {
-        let higher = |floor: &Floor| order(slice, claim, &floor.claim, &self.regions) == Ordering::Less;
+        let higher = |floor: &Floor| compare(slice, claim, &floor.claim, &self.regions) == Ordering::Less;
         self.floors.get(&slice).is_some_and(higher)
     }
 
-    pub fn hear(&mut self, now: Micros, slice: Slice, claim: Claim, fresh: Option<Micros>) -> Effect {
+    pub fn receive(
+        &mut self,
+        now: Micros,
+        slice: Slice,
+        claim: Claim,
+        last_confirmed: Option<Micros>,
+    ) -> Effect {
         let term = self.get(slice).map_or(0, |floor| floor.claim.term);
-        if slice.0 >= self.slices || !self.regions.contains(&claim.region) || claim.term > term + LEAP {
+        if slice.0 >= self.slices || !self.regions.contains(&claim.region) || claim.term > term + MAX_ADVANCE
+        {
             return Effect::Unusable;
         }
         let Some(floor) = self.floors.get_mut(&slice) else {
-            self.floors.insert(slice, Floor { claim, fresh, since: now });
+            self.floors.insert(slice, Floor { claim, last_confirmed, since: now });
             return Effect::Raised(None);
         };
-        match order(slice, &claim, &floor.claim, &self.regions) {
+        match compare(slice, &claim, &floor.claim, &self.regions) {
             Ordering::Less => Effect::Lower,
             Ordering::Equal => {
                 // Given up once, it stays so, whatever comes late.
-                if floor.fresh.is_some() && fresh.is_none() {
+                if floor.last_confirmed.is_some() && last_confirmed.is_none() {
                     floor.since = now;
                 }
-                floor.fresh = floor.fresh.zip(fresh).map(|(one, other)| one.max(other));
+                floor.last_confirmed =
+                    floor.last_confirmed.zip(last_confirmed).map(|(one, other)| one.max(other));
                 Effect::Same
             }
             Ordering::Greater => {
-                Effect::Raised(Some(std::mem::replace(floor, Floor { claim, fresh, since: now })))
+                Effect::Raised(Some(std::mem::replace(floor, Floor { claim, last_confirmed, since: now })))
             }
         }
     }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
+pub enum ClaimChange {
     Claimed(Slice, Claim),
     /// This home's claim has lost against a higher one: nothing under it counts any more.
     Fenced {
@@ -130,7 +138,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Own {
+struct OwnClaim {
     claim: Claim,
     /// A claim that another region makes in the same moment has been heard of by then, if it can be.
     acts_from: Micros,
@@ -145,12 +153,12 @@
     /// Nobody stands by a claim who has not been heard for so long.
     lease: Micros,
     pub floors: Floors,
-    own: BTreeMap<Slice, Own>,
+    own: BTreeMap<Slice, OwnClaim>,
     /// Since when this gateway is home of a slice in its region.
     home: BTreeMap<Slice, Micros>,
     /// Since when another region is heard without a break, and when last.
     heard: BTreeMap<Region, (Micros, Micros)>,
-    told: Micros,
+    last_broadcast: Micros,
 }
 
 /// Leases of claims for which a region that comes first must be heard before what it lost is given back to it.
@@ -172,17 +180,17 @@
             own: BTreeMap::new(),
             home: BTreeMap::new(),
             heard: BTreeMap::new(),
-            told: 0,
+            last_broadcast: 0,
         }
     }
 
-    fn beat(&self) -> Micros {
+    fn heartbeat(&self) -> Micros {
         (self.lease / 3).max(1)
     }
 
     /// When it is to be called again.
     pub fn next(&self) -> Micros {
-        self.told + self.beat()
+        self.last_broadcast + self.heartbeat()
     }
 
     /// The claim under which this gateway is the slice's principal right now, where `epoch` is that of its own lease. One
@@ -198,9 +206,9 @@
         let turn = u64::from(rank(slice, self.region, regions)) * self.lease / 2;
         match self.floors.get(slice) {
             // The region's own, of its home before. What that has given up it takes in its turn again, like others.
-            Some(floor) if floor.claim.region == self.region && floor.fresh.is_some() => home_since,
-            Some(Floor { fresh: None, since, .. }) => since.max(home_since) + turn,
-            Some(Floor { fresh: Some(at), .. }) => (at + self.lease).max(home_since) + turn,
+            Some(floor) if floor.claim.region == self.region && floor.last_confirmed.is_some() => home_since,
+            Some(Floor { last_confirmed: None, since, .. }) => since.max(home_since) + turn,
+            Some(Floor { last_confirmed: Some(at), .. }) => (at + self.lease).max(home_since) + turn,
             // A home that knows nothing yet listens first.
             None if regions.len() > 1 => home_since + self.lease + turn,
             None => home_since,
@@ -208,15 +216,15 @@
     }
 
     /// Does what is due, where `home` tells the epoch under which this gateway is home of a slice.
-    pub fn tick(&mut self, now: Micros, home: &BTreeMap<Slice, Epoch>) -> (Vec<Claims>, Vec<Change>) {
+    pub fn tick(&mut self, now: Micros, home: &BTreeMap<Slice, Epoch>) -> (Vec<Claims>, Vec<ClaimChange>) {
         let mut changes = Vec::new();
-        let mut urgent: Vec<Told> = Vec::new();
+        let mut urgent: Vec<ClaimStatus> = Vec::new();
         self.home.retain(|slice, _| home.contains_key(slice));
         let incarnation = self.incarnation;
         self.own.retain(|slice, own| {
             let stays = home.get(slice) == Some(&own.claim.epoch);
             if !stays {
-                changes.push(Change::Left(*slice, own.claim));
+                changes.push(ClaimChange::Left(*slice, own.claim));
             }
             stays
         });
@@ -226,9 +234,9 @@
                 if self.first_is_back(*slice, now) && now >= own.since + SETTLES * self.lease {
                     let claim = own.claim;
                     self.own.remove(slice);
-                    self.floors.hear(now, *slice, claim, None);
-                    urgent.push(Told { slice: *slice, claim, age: None });
-                    changes.push(Change::Left(*slice, claim));
+                    self.floors.receive(now, *slice, claim, None);
+                    urgent.push(ClaimStatus { slice: *slice, claim, age: None });
+                    changes.push(ClaimChange::Left(*slice, claim));
                 }
                 continue;
             }
@@ -237,7 +245,7 @@
             }
             let floor = self.floors.get(*slice);
             let own = floor.is_some_and(|floor| floor.claim.region == self.region);
-            let handed_over = floor.is_some_and(|floor| own || floor.fresh.is_none());
+            let handed_over = floor.is_some_and(|floor| own || floor.last_confirmed.is_none());
             let term = floor.map_or(0, |floor| floor.claim.term);
             let (region, epoch) = (self.region, *epoch);
             let next = |term| Claim { term, region, epoch, incarnation, handed_over };
@@ -245,33 +253,33 @@
             // claim that it stood by before would be followed by one of the same term.
             let same = own && !self.floors.fenced(*slice, &next(term));
             let claim = if same { next(term) } else { next(term + 1) };
-            self.floors.hear(now, *slice, claim, Some(now));
+            self.floors.receive(now, *slice, claim, Some(now));
             let alone = self.floors.regions.len() < 2;
             let acts_from = if alone { now } else { now + self.lease / 4 };
-            self.own.insert(*slice, Own { claim, acts_from, since: now });
-            urgent.push(Told { slice: *slice, claim, age: Some(0) });
-            changes.push(Change::Claimed(*slice, claim));
+            self.own.insert(*slice, OwnClaim { claim, acts_from, since: now });
+            urgent.push(ClaimStatus { slice: *slice, claim, age: Some(0) });
+            changes.push(ClaimChange::Claimed(*slice, claim));
         }
         if now >= self.next() {
-            self.told = now;
+            self.last_broadcast = now;
             // What this home knows of others' claims goes on too: two that can't hear each other hear a third.
-            urgent = home.keys().filter_map(|slice| self.told_of(now, *slice)).collect();
+            urgent = home.keys().filter_map(|slice| self.status_of(now, *slice)).collect();
         }
-        (urgent.chunks(CLAIMS).map(|part| Claims(part.to_vec())).collect(), changes)
+        (urgent.chunks(MAX_CLAIMS).map(|part| Claims(part.to_vec())).collect(), changes)
     }
 
-    fn told_of(&mut self, now: Micros, slice: Slice) -> Option<Told> {
+    fn status_of(&mut self, now: Micros, slice: Slice) -> Option<ClaimStatus> {
         if let Some(own) = self.own.get(&slice) {
-            self.floors.hear(now, slice, own.claim, Some(now));
+            self.floors.receive(now, slice, own.claim, Some(now));
         }
-        let Floor { claim, fresh, .. } = self.floors.get(slice)?;
-        let age = fresh.map(|at| (now.saturating_sub(at) / 1_000).min(u64::from(u32::MAX)) as u32);
-        Some(Told { slice, claim, age })
+        let Floor { claim, last_confirmed, .. } = self.floors.get(slice)?;
+        let age = last_confirmed.map(|at| (now.saturating_sub(at) / 1_000).min(u64::from(u32::MAX)) as u32);
+        Some(ClaimStatus { slice, claim, age })
     }
 
     /// Whether a region that comes before the own one for this slice has been heard for long.
     fn first_is_back(&self, slice: Slice, now: Micros) -> bool {
-        let order = place::regions(slice, &self.floors.regions);
+        let order = placement::regions(slice, &self.floors.regions);
         let before = order.iter().take_while(|region| **region != self.region);
         before
             .filter_map(|region| self.heard.get(region))
@@ -279,33 +287,38 @@
     }
 
     /// Takes in what a member of another region, or of the own one, tells. What has lost is answered with what won.
-    pub fn hear(&mut self, now: Micros, from: Region, claims: &Claims) -> (Option<Claims>, Vec<Change>) {
+    pub fn receive(
+        &mut self,
+        now: Micros,
+        from: Region,
+        claims: &Claims,
+    ) -> (Option<Claims>, Vec<ClaimChange>) {
         let (mut answer, mut changes) = (Vec::new(), Vec::new());
         if from != self.region {
             let heard = self.heard.entry(from).or_insert((now, now));
             let since = if now < heard.1 + self.lease { heard.0 } else { now };
             *heard = (since, now);
         }
-        for Told { slice, claim, age } in claims.0.iter().copied().take(CLAIMS) {
-            let fresh = age.map(|age| now.saturating_sub(u64::from(age) * 1_000));
+        for ClaimStatus { slice, claim, age } in claims.0.iter().copied().take(MAX_CLAIMS) {
+            let last_confirmed = age.map(|age| now.saturating_sub(u64::from(age) * 1_000));
             let stands = |at: Option<Micros>| at.is_some_and(|at| now < at + self.lease);
-            match self.floors.hear(now, slice, claim, fresh) {
+            match self.floors.receive(now, slice, claim, last_confirmed) {
                 Effect::Raised(Some(before)) => {
                     let apart = before.claim.region != claim.region && !claim.handed_over;
-                    if apart && stands(before.fresh) && stands(fresh) {
-                        changes.push(Change::Split { slice, lost: before.claim, won: claim });
+                    if apart && stands(before.last_confirmed) && stands(last_confirmed) {
+                        changes.push(ClaimChange::Split { slice, lost: before.claim, won: claim });
                     }
                     if let Some(own) = self.own.remove(&slice) {
-                        changes.push(Change::Fenced { slice, lost: own.claim, won: claim });
+                        changes.push(ClaimChange::Fenced { slice, lost: own.claim, won: claim });
                     }
                 }
                 Effect::Lower => {
                     let Some(floor) = self.floors.get(slice) else { continue };
                     let apart = floor.claim.region != claim.region && !floor.claim.handed_over;
-                    if apart && stands(floor.fresh) && stands(fresh) {
-                        changes.push(Change::Split { slice, lost: claim, won: floor.claim });
+                    if apart && stands(floor.last_confirmed) && stands(last_confirmed) {
+                        changes.push(ClaimChange::Split { slice, lost: claim, won: floor.claim });
                     }
-                    answer.extend(self.told_of(now, slice));
+                    answer.extend(self.status_of(now, slice));
                 }
                 Effect::Raised(None) | Effect::Same | Effect::Unusable => {}
             }
@@ -327,7 +340,7 @@
     }
 
     fn by_rank(rank: usize) -> Region {
-        place::regions(SLICE, &regions())[rank]
+        placement::regions(SLICE, &regions())[rank]
     }
 
     fn claim(term: u64, rank: usize, epoch: Epoch, incarnation: u64) -> Claim {
@@ -340,11 +353,11 @@
     #[case::the_same_region_by_epoch(claim(1, 1, 2, 1), claim(1, 1, 1, 9))]
     #[case::the_same_epoch_by_incarnation(claim(1, 1, 2, 2), claim(1, 1, 2, 1))]
     fn the_order_is_total(#[case] won: Claim, #[case] lost: Claim) {
-        assert_eq!(order(SLICE, &won, &lost, &regions()), Ordering::Greater);
-        assert_eq!(order(SLICE, &lost, &won, &regions()), Ordering::Less);
+        assert_eq!(compare(SLICE, &won, &lost, &regions()), Ordering::Greater);
+        assert_eq!(compare(SLICE, &lost, &won, &regions()), Ordering::Less);
         let heard = |sequence: [Claim; 2]| {
             let mut floors = Floors::new(regions(), 8);
-            sequence.into_iter().for_each(|claim| _ = floors.hear(1, SLICE, claim, Some(1)));
+            sequence.into_iter().for_each(|claim| _ = floors.receive(1, SLICE, claim, Some(1)));
             assert!(floors.fenced(SLICE, &lost) && !floors.fenced(SLICE, &won));
         };
         heard([won, lost]);
@@ -354,11 +367,11 @@
     #[test]
     fn what_was_given_up_does_not_come_back_late() {
         let mut floors = Floors::new(regions(), 8);
-        floors.hear(1, SLICE, claim(1, 0, 1, 1), None);
-        assert_eq!(floors.hear(9, SLICE, claim(1, 0, 1, 1), Some(9)), Effect::Same);
-        assert_eq!(floors.get(SLICE).unwrap().fresh, None);
-        assert_eq!(floors.hear(9, SLICE, claim(2 + LEAP, 0, 1, 1), Some(9)), Effect::Unusable);
-        assert_eq!(floors.hear(9, Slice(8), claim(1, 0, 1, 1), Some(9)), Effect::Unusable);
+        floors.receive(1, SLICE, claim(1, 0, 1, 1), None);
+        assert_eq!(floors.receive(9, SLICE, claim(1, 0, 1, 1), Some(9)), Effect::Same);
+        assert_eq!(floors.get(SLICE).unwrap().last_confirmed, None);
+        assert_eq!(floors.receive(9, SLICE, claim(2 + MAX_ADVANCE, 0, 1, 1), Some(9)), Effect::Unusable);
+        assert_eq!(floors.receive(9, Slice(8), claim(1, 0, 1, 1), Some(9)), Effect::Unusable);
     }
 
     /// A home of the slice in a region, ticked until it is principal.
@@ -379,15 +392,15 @@
     fn one_alone_goes_on_and_the_loser_is_fenced_when_it_hears() {
         let (mut first, lost, _) = principal(1, 1, 0);
         let (mut second, won, now) = principal(0, 2, 0);
-        let told = |claim| Claims(vec![Told { slice: SLICE, claim, age: Some(10) }]);
+        let told = |claim| Claims(vec![ClaimStatus { slice: SLICE, claim, age: Some(10) }]);
         // The winner hears of the loser, and answers; the loser acts no more.
-        let (answer, changes) = second.hear(now, by_rank(1), &told(lost));
-        assert_eq!(changes, [Change::Split { slice: SLICE, lost, won }]);
+        let (answer, changes) = second.receive(now, by_rank(1), &told(lost));
+        assert_eq!(changes, [ClaimChange::Split { slice: SLICE, lost, won }]);
         assert_eq!(second.principal(now, SLICE, Some(1)), Some(won));
-        let (_, changes) = first.hear(now, by_rank(0), &answer.unwrap());
-        assert!(changes.contains(&Change::Fenced { slice: SLICE, lost, won }), "{changes:?}");
+        let (_, changes) = first.receive(now, by_rank(0), &answer.unwrap());
+        assert!(changes.contains(&ClaimChange::Fenced { slice: SLICE, lost, won }), "{changes:?}");
         assert_eq!(first.principal(now, SLICE, Some(1)), None);
-        first.hear(now, by_rank(2), &told(lost));
+        first.receive(now, by_rank(2), &told(lost));
         assert!(first.floors.fenced(SLICE, &lost), "an old message lifts no fence");
     }
 
@@ -397,10 +410,10 @@
         let home = BTreeMap::from([(SLICE, 1)]);
         for step in 0..60 {
             let now = step * LEASE / 3;
-            cut_off.hear(
+            cut_off.receive(
                 now,
                 by_rank(2),
-                &Claims(vec![Told { slice: SLICE, claim: claim(1, 0, 1, 1), age: Some(400) }]),
+                &Claims(vec![ClaimStatus { slice: SLICE, claim: claim(1, 0, 1, 1), age: Some(400) }]),
             );
             let (_, changes) = cut_off.tick(now, &home);
             assert_eq!(changes, []);
@@ -411,20 +424,24 @@
     fn a_later_home_of_the_region_supersedes_the_one_before_in_the_same_term() {
         let (first, before, now) = principal(0, 1, 0);
         let mut second = Principals::new(by_rank(0), regions(), 8, LEASE, 2);
-        second.hear(now, by_rank(0), &Claims(vec![Told { slice: SLICE, claim: before, age: Some(0) }]));
+        second.receive(
+            now,
+            by_rank(0),
+            &Claims(vec![ClaimStatus { slice: SLICE, claim: before, age: Some(0) }]),
+        );
         let (_, changes) = second.tick(now, &BTreeMap::from([(SLICE, 2)]));
-        let Some(Change::Claimed(_, after)) = changes.first() else { panic!("{changes:?}") };
+        let Some(ClaimChange::Claimed(_, after)) = changes.first() else { panic!("{changes:?}") };
         assert_eq!((after.term, after.epoch), (before.term, 2));
         assert!(second.floors.fenced(SLICE, &before) && first.principal(now, SLICE, None).is_none());
     }
 
     /// What a home of this rank claims, and after how long, once this is all that it has heard.
-    fn claims_after(rank: usize, told: Told) -> (Claim, Micros) {
+    fn claims_after(rank: usize, status: ClaimStatus) -> (Claim, Micros) {
         let mut principals = Principals::new(by_rank(rank), regions(), 8, LEASE, 5);
         let (home, from) = (BTreeMap::from([(SLICE, 4)]), 100 * LEASE);
-        principals.hear(from, by_rank(2), &Claims(vec![told]));
+        principals.receive(from, by_rank(2), &Claims(vec![status]));
         for now in (from..from + 10 * LEASE).step_by(LEASE as usize / 12) {
-            if let Some(Change::Claimed(_, claim)) = principals.tick(now, &home).1.first() {
+            if let Some(ClaimChange::Claimed(_, claim)) = principals.tick(now, &home).1.first() {
                 return (*claim, now - from);
             }
         }
@@ -444,7 +461,7 @@
         #[case] after: Micros,
     ) {
         let before = claim(3, 2, 9, 9);
-        let (made, waited) = claims_after(rank, Told { slice: SLICE, claim: before, age });
+        let (made, waited) = claims_after(rank, ClaimStatus { slice: SLICE, claim: before, age });
         assert_eq!((made.term, made.handed_over, waited), (4, age.is_none(), after));
     }
 
@@ -452,10 +469,10 @@
     fn what_was_handed_over_is_no_split_brain() {
         let mut third = Principals::new(by_rank(2), regions(), 8, LEASE, 5);
         let (before, after) = (claim(3, 1, 9, 9), Claim { handed_over: true, ..claim(4, 0, 1, 1) });
-        let told = |claim| Claims(vec![Told { slice: SLICE, claim, age: Some(0) }]);
-        third.hear(1, by_rank(1), &told(before));
-        assert_eq!(third.hear(2, by_rank(0), &told(after)).1, []);
-        assert_eq!(third.hear(3, by_rank(1), &told(before)).1, [], "by a message that is late");
+        let told = |claim| Claims(vec![ClaimStatus { slice: SLICE, claim, age: Some(0) }]);
+        third.receive(1, by_rank(1), &told(before));
+        assert_eq!(third.receive(2, by_rank(0), &told(after)).1, []);
+        assert_eq!(third.receive(3, by_rank(1), &told(before)).1, [], "by a message that is late");
     }
 
     #[test]
@@ -464,8 +481,8 @@
         let home = BTreeMap::from([(SLICE, 1)]);
         let left = (0..40).find(|step| {
             let now = from + step * LEASE / 3;
-            second.hear(now, by_rank(0), &Claims(Vec::new()));
-            second.tick(now, &home).1.contains(&Change::Left(SLICE, claim))
+            second.receive(now, by_rank(0), &Claims(Vec::new()));
+            second.tick(now, &home).1.contains(&ClaimChange::Left(SLICE, claim))
         });
         assert!((15..20).contains(&left.unwrap()), "{left:?}");
         // It does not take back in the next moment what it has just given up for another.
--- a/crates/homes/src/holder.rs
+++ b/crates/homes/src/holder.rs
@@ -3,13 +3,13 @@
 //! A slice is asked for where it belongs here by those who are alive as far as this gateway knows. What it is wrong about
 //! costs a home, never safety: only a majority of each list makes one.
 
-use crate::message::{DENIALS, Leases, Out, SLICES, Sender};
+use crate::message::{LeaseMessage, MAX_DENIALS, MAX_SLICES, Out, Sender};
 use crate::voter::{Vote, Voter};
-use crate::{Epoch, Member, Micros, Rules, Slice, place};
+use crate::{Epoch, Member, Micros, Rules, Slice, placement};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum LossReason {
     /// It belongs to another now.
     Moved,
     /// No majority has granted more of it in time.
@@ -18,9 +18,9 @@
 
 /// What has become of a slice here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Change {
+pub enum LeaseChange {
     Gained(Slice, Epoch),
-    Lost(Slice, Epoch, Why),
+    Lost(Slice, Epoch, LossReason),
 }
 
 /// One round of asking. Only answers to the latest count: the lease runs from when that was sent.
@@ -51,13 +51,13 @@
     voter: Voter,
     alive: BTreeSet<Member>,
     /// To whom each slice belongs, by those who are alive.
-    belongs: Vec<Member>,
+    preferred_homes: Vec<Member>,
     tenures: BTreeMap<Slice, Tenure>,
     /// When a slice that could not be had is asked for again.
-    again: BTreeMap<Slice, Micros>,
+    retry_at: BTreeMap<Slice, Micros>,
     rounds: u32,
     /// Voters that started with it say nothing until then, and who is alive has been found out meanwhile.
-    asks_from: Micros,
+    requests_from: Micros,
 }
 
 impl Holder {
@@ -68,33 +68,33 @@
             lists,
             voter: Voter::new(rules, now, floor),
             alive: BTreeSet::new(),
-            belongs: Vec::new(),
+            preferred_homes: Vec::new(),
             tenures: BTreeMap::new(),
-            again: BTreeMap::new(),
+            retry_at: BTreeMap::new(),
             rounds: 0,
-            asks_from: now + rules.promise(),
+            requests_from: now + rules.promise(),
         };
-        holder.alive(BTreeSet::new());
+        holder.set_alive(BTreeSet::new());
         holder
     }
 
     /// Who is alive in the region, besides this gateway.
-    pub fn alive(&mut self, mut others: BTreeSet<Member>) {
+    pub fn set_alive(&mut self, mut others: BTreeSet<Member>) {
         others.insert(self.me.member);
         if others != self.alive {
             let own = self.me.member;
-            let of = |slice| place::member(slice, others.iter().copied()).unwrap_or(own);
-            self.belongs = self.rules.all().map(of).collect();
+            let of = |slice| placement::member(slice, others.iter().copied()).unwrap_or(own);
+            self.preferred_homes = self.rules.all().map(of).collect();
             self.alive = others;
         }
     }
 
     /// Who should be home of a slice, as far as this gateway knows.
-    pub fn belongs(&self, slice: Slice) -> Member {
-        self.belongs.get(usize::from(slice.0)).copied().unwrap_or(self.me.member)
+    pub fn preferred_home(&self, slice: Slice) -> Member {
+        self.preferred_homes.get(usize::from(slice.0)).copied().unwrap_or(self.me.member)
     }
 
-    pub fn alive_now(&self) -> &BTreeSet<Member> {
+    pub fn alive_members(&self) -> &BTreeSet<Member> {
         &self.alive
     }
 
@@ -115,39 +115,40 @@
     }
 
     /// Slices that belong here and that no majority has granted.
-    pub fn wanting(&self, now: Micros) -> usize {
-        let wanting =
-            |slice: &Slice| self.belongs(*slice) == self.me.member && self.holds(now, *slice).is_none();
-        self.rules.all().filter(wanting).count()
+    pub fn missing_leases(&self, now: Micros) -> usize {
+        let missing = |slice: &Slice| {
+            self.preferred_home(*slice) == self.me.member && self.holds(now, *slice).is_none()
+        };
+        self.rules.all().filter(missing).count()
     }
 
     /// The latest epoch heard of for a slice: what comes under an older one is from a home that was.
-    pub fn known(&self, slice: Slice) -> Epoch {
-        self.voter.known(slice)
+    pub fn latest_epoch(&self, slice: Slice) -> Epoch {
+        self.voter.latest_epoch(slice)
     }
 
-    pub fn learn(&mut self, slice: Slice, epoch: Epoch) {
-        self.voter.learn(slice, epoch);
+    pub fn observe_epoch(&mut self, slice: Slice, epoch: Epoch) {
+        self.voter.observe_epoch(slice, epoch);
     }
 
     /// When it has to be called again at the latest; `None`: nothing is its own.
     pub fn next(&self, now: Micros) -> Option<Micros> {
-        if now < self.asks_from {
-            return Some(self.asks_from);
+        if now < self.requests_from {
+            return Some(self.requests_from);
         }
         let due = |tenure: &Tenure| tenure.next.min(tenure.until.unwrap_or(Micros::MAX));
         let tenures = self.tenures.values().map(due);
-        let known = self.tenures.keys().chain(self.again.keys()).count();
-        let own = self.belongs.iter().filter(|member| **member == self.me.member).count();
+        let known = self.tenures.keys().chain(self.retry_at.keys()).count();
+        let own = self.preferred_homes.iter().filter(|member| **member == self.me.member).count();
         // Something belongs here that has not been asked for yet.
         let new = (own > known).then_some(now);
-        tenures.chain(self.again.values().copied()).chain(new).min()
+        tenures.chain(self.retry_at.values().copied()).chain(new).min()
     }
 
     /// It ends: it asks for nothing any more, and grants nothing either.
     pub fn retire(&mut self) {
         self.tenures.clear();
-        self.asks_from = Micros::MAX;
+        self.requests_from = Micros::MAX;
         self.lists.clear();
     }
 
@@ -161,63 +162,66 @@
     }
 
     /// Does what is due. `chance` is from 0 to 1 and spreads those who could not agree.
-    pub fn tick(&mut self, now: Micros, chance: f64, out: &mut Out) -> Vec<Change> {
+    pub fn tick(&mut self, now: Micros, chance: f64, out: &mut Out) -> Vec<LeaseChange> {
         let mut changes = Vec::new();
-        let beat = self.rules.beat();
+        let heartbeat = self.rules.heartbeat();
         let mut given_back: BTreeMap<Epoch, Vec<Slice>> = BTreeMap::new();
         let mut asked: BTreeMap<Epoch, Vec<Slice>> = BTreeMap::new();
         let round = Round { number: self.rounds.wrapping_add(1), sent: now, granted: BTreeSet::new() };
         let own = self.me.member;
-        let belongs = std::mem::take(&mut self.belongs);
+        let preferred_homes = std::mem::take(&mut self.preferred_homes);
         self.tenures.retain(|slice, tenure| {
             let lapsed = tenure.until.is_some_and(|until| now >= until);
-            let moved = belongs.get(usize::from(slice.0)).is_some_and(|member| *member != own);
+            let moved = preferred_homes.get(usize::from(slice.0)).is_some_and(|member| *member != own);
             let in_vain = tenure.until.is_none() && now >= tenure.next;
             if lapsed || moved || in_vain {
                 given_back.entry(tenure.epoch).or_default().push(*slice);
                 if tenure.until.is_some() {
-                    let why = if lapsed { Why::Lapsed } else { Why::Moved };
-                    changes.push(Change::Lost(*slice, tenure.epoch, why));
+                    let reason = if lapsed { LossReason::Lapsed } else { LossReason::Moved };
+                    changes.push(LeaseChange::Lost(*slice, tenure.epoch, reason));
                 }
                 // Two who both ask at once must not do so for ever.
-                let pause = beat / 4 + (beat as f64 * chance) as Micros;
-                self.again.insert(*slice, now + pause);
+                let pause = heartbeat / 4 + (heartbeat as f64 * chance) as Micros;
+                self.retry_at.insert(*slice, now + pause);
                 return false;
             }
             if now >= tenure.next {
                 tenure.round = round.clone();
-                tenure.next = now + beat;
+                tenure.next = now + heartbeat;
                 asked.entry(tenure.epoch).or_default().push(*slice);
             }
             true
         });
-        self.belongs = belongs;
-        self.again.retain(|_, at| now < *at);
-        if now < self.asks_from {
+        self.preferred_homes = preferred_homes;
+        self.retry_at.retain(|_, at| now < *at);
+        if now < self.requests_from {
             return changes;
         }
         for slice in self.rules.all() {
-            let waits = self.tenures.contains_key(&slice) || self.again.contains_key(&slice);
-            if self.belongs(slice) != own || waits {
+            let waits = self.tenures.contains_key(&slice) || self.retry_at.contains_key(&slice);
+            if self.preferred_home(slice) != own || waits {
                 continue;
             }
-            let epoch = self.voter.known(slice) + 1;
-            let next = now + beat;
+            let epoch = self.voter.latest_epoch(slice) + 1;
+            let next = now + heartbeat;
             self.tenures.insert(slice, Tenure { epoch, until: None, round: round.clone(), next });
             asked.entry(epoch).or_default().push(slice);
         }
         for (epoch, slices) in given_back {
             slices.iter().for_each(|slice| self.voter.release(self.me, *slice, epoch));
-            for part in slices.chunks(SLICES) {
-                self.tell(&Leases::Released { epoch, slices: part.to_vec() }, out);
+            for part in slices.chunks(MAX_SLICES) {
+                self.send_to_voters(&LeaseMessage::Released { epoch, slices: part.to_vec() }, out);
             }
         }
         if !asked.is_empty() {
             self.rounds = round.number;
         }
         for (epoch, slices) in asked {
-            for part in slices.chunks(SLICES) {
-                self.tell(&Leases::Ask { round: round.number, epoch, slices: part.to_vec() }, out);
+            for part in slices.chunks(MAX_SLICES) {
+                self.send_to_voters(
+                    &LeaseMessage::Request { round: round.number, epoch, slices: part.to_vec() },
+                    out,
+                );
             }
             if self.voters().contains(&own) {
                 for slice in slices {
@@ -230,12 +234,12 @@
         changes
     }
 
-    fn tell(&self, message: &Leases, out: &mut Out) {
+    fn send_to_voters(&self, message: &LeaseMessage, out: &mut Out) {
         let others = self.voters().into_iter().filter(|voter| *voter != self.me.member);
         out.extend(others.map(|voter| (voter, message.clone())));
     }
 
-    fn granted(&mut self, by: Member, round: u32, epoch: Epoch, slice: Slice) -> Option<Change> {
+    fn granted(&mut self, by: Member, round: u32, epoch: Epoch, slice: Slice) -> Option<LeaseChange> {
         let lease = self.rules.lease;
         let mut tenure = self.tenures.remove(&slice)?;
         let mut change = None;
@@ -243,8 +247,8 @@
             tenure.round.granted.insert(by);
             if self.majority(&tenure.round.granted) {
                 if tenure.until.is_none() {
-                    tenure.next = tenure.round.sent + self.rules.beat();
-                    change = Some(Change::Gained(slice, epoch));
+                    tenure.next = tenure.round.sent + self.rules.heartbeat();
+                    change = Some(LeaseChange::Gained(slice, epoch));
                 }
                 // Counted from when it was asked for: an answer may have been on its way for long.
                 tenure.until = Some(tenure.round.sent + lease);
@@ -255,15 +259,21 @@
     }
 
     /// Takes in what another member of the region tells.
-    pub fn hear(&mut self, now: Micros, from: Sender, message: &Leases, out: &mut Out) -> Vec<Change> {
+    pub fn receive(
+        &mut self,
+        now: Micros,
+        from: Sender,
+        message: &LeaseMessage,
+        out: &mut Out,
+    ) -> Vec<LeaseChange> {
         let mut changes = Vec::new();
         match message {
-            Leases::Ask { round, epoch, slices } => {
+            LeaseMessage::Request { round, epoch, slices } => {
                 if !self.voters().contains(&self.me.member) {
                     return changes;
                 }
                 let (mut granted, mut denied) = (Vec::new(), Vec::new());
-                for slice in slices.iter().copied().take(SLICES) {
+                for slice in slices.iter().copied().take(MAX_SLICES) {
                     match self.voter.ask(now, from, slice, *epoch) {
                         Vote::Granted => granted.push(slice),
                         Vote::Denied(known) => denied.push((slice, known)),
@@ -272,30 +282,30 @@
                 }
                 if !granted.is_empty() {
                     let to = from.incarnation;
-                    let granted = Leases::Granted { to, round: *round, epoch: *epoch, slices: granted };
+                    let granted = LeaseMessage::Granted { to, round: *round, epoch: *epoch, slices: granted };
                     out.push((from.member, granted));
                 }
-                for part in denied.chunks(DENIALS) {
-                    let denied = Leases::Denied { round: *round, known: part.to_vec() };
+                for part in denied.chunks(MAX_DENIALS) {
+                    let denied = LeaseMessage::Denied { round: *round, known: part.to_vec() };
                     out.push((from.member, denied));
                 }
             }
-            Leases::Granted { to, round, epoch, slices } if *to == self.me.incarnation => {
+            LeaseMessage::Granted { to, round, epoch, slices } if *to == self.me.incarnation => {
                 for slice in slices {
                     changes.extend(self.granted(from.member, *round, *epoch, *slice));
                 }
                 // One that came up only now, out of a lease that is over already, is no home.
                 changes.retain(|change| match change {
-                    Change::Gained(slice, _) => self.holds(now, *slice).is_some(),
-                    Change::Lost(..) => true,
+                    LeaseChange::Gained(slice, _) => self.holds(now, *slice).is_some(),
+                    LeaseChange::Lost(..) => true,
                 });
             }
             // To the process before this one, under the same number.
-            Leases::Granted { .. } => {}
-            Leases::Denied { known, .. } => {
-                known.iter().for_each(|(slice, epoch)| self.voter.learn(*slice, *epoch));
+            LeaseMessage::Granted { .. } => {}
+            LeaseMessage::Denied { known, .. } => {
+                known.iter().for_each(|(slice, epoch)| self.voter.observe_epoch(*slice, *epoch));
             }
-            Leases::Released { epoch, slices } => {
+            LeaseMessage::Released { epoch, slices } => {
                 slices.iter().for_each(|slice| self.voter.release(from, *slice, *epoch));
             }
         }
@@ -322,10 +332,12 @@
     fn asked(me: u16, lists: &[&[u16]], by: &[u16]) -> usize {
         let (mut holder, mut out) = (holder(me, lists), Out::new());
         holder.tick(10_000, 0.5, &mut out);
-        let Some((_, Leases::Ask { round, epoch, slices })) = out.first().cloned() else { panic!("{out:?}") };
+        let Some((_, LeaseMessage::Request { round, epoch, slices })) = out.first().cloned() else {
+            panic!("{out:?}")
+        };
         for voter in by {
-            let granted = Leases::Granted { to: 1, round, epoch, slices: slices.clone() };
-            holder.hear(10_100, sender(*voter), &granted, &mut out);
+            let granted = LeaseMessage::Granted { to: 1, round, epoch, slices: slices.clone() };
+            holder.receive(10_100, sender(*voter), &granted, &mut out);
         }
         assert!(RULES.all().all(|slice| holder.holds(13_000, slice).is_none()), "from the asking on");
         holder.held(12_999).count()
@@ -350,11 +362,11 @@
         let (mut holder, mut out) = (holder(0, &[&[0, 1, 2]]), Out::new());
         holder.tick(10_000, 0.5, &mut out);
         let first = out.remove(0).1;
-        let Leases::Ask { round, epoch, slices } = first else { panic!() };
-        let granted = Leases::Granted { to: 1, round, epoch, slices };
-        holder.hear(10_100, sender(1), &granted, &mut out);
+        let LeaseMessage::Request { round, epoch, slices } = first else { panic!() };
+        let granted = LeaseMessage::Granted { to: 1, round, epoch, slices };
+        holder.receive(10_100, sender(1), &granted, &mut out);
         holder.tick(11_000, 0.5, &mut out);
-        holder.hear(11_100, sender(1), &granted, &mut out);
+        holder.receive(11_100, sender(1), &granted, &mut out);
         assert_eq!((holder.held(12_999).count(), holder.held(13_000).count()), (4, 0));
     }
 
@@ -362,9 +374,9 @@
     fn what_was_granted_to_the_process_before_is_not_granted_to_this_one() {
         let (mut holder, mut out) = (holder(0, &[&[0, 1, 2]]), Out::new());
         holder.tick(10_000, 0.5, &mut out);
-        let Leases::Ask { round, epoch, slices } = out.remove(0).1 else { panic!() };
-        let granted = Leases::Granted { to: 7, round, epoch, slices };
-        assert_eq!(holder.hear(10_100, sender(1), &granted, &mut out), []);
+        let LeaseMessage::Request { round, epoch, slices } = out.remove(0).1 else { panic!() };
+        let granted = LeaseMessage::Granted { to: 7, round, epoch, slices };
+        assert_eq!(holder.receive(10_100, sender(1), &granted, &mut out), []);
     }
 
     #[test]
@@ -372,9 +384,12 @@
         let (mut holder, mut out) = (holder(0, &[&[0]]), Out::new());
         holder.tick(10_000, 0.5, &mut out);
         assert_eq!(holder.held(10_000).count(), 4);
-        holder.alive([Member(1), Member(2)].into());
+        holder.set_alive([Member(1), Member(2)].into());
         let lost = holder.tick(10_001, 0.5, &mut out);
-        assert!(!lost.is_empty() && lost.iter().all(|it| matches!(it, Change::Lost(_, _, Why::Moved))));
+        assert!(
+            !lost.is_empty()
+                && lost.iter().all(|it| matches!(it, LeaseChange::Lost(_, _, LossReason::Moved)))
+        );
         assert_eq!(holder.held(10_001).count() + lost.len(), 4);
     }
 }
--- a/crates/homes/src/lib.rs
+++ b/crates/homes/src/lib.rs
@@ -11,12 +11,12 @@
 pub mod claims;
 pub mod holder;
 pub mod message;
-pub mod place;
+pub mod placement;
 pub mod voter;
 
-pub use claims::{Claim, Floors, Principals};
-pub use holder::{Change, Holder, Why};
-pub use message::{Claims, Leases, Told};
+pub use claims::{Claim, ClaimChange, Floors, Principals};
+pub use holder::{Holder, LeaseChange, LossReason};
+pub use message::{ClaimStatus, Claims, LeaseMessage};
 
 use serde::{Deserialize, Serialize};
 
@@ -26,7 +26,7 @@
 /// Counts the tenures of a slice's homes: it only grows.
 pub type Epoch = u64;
 
-/// Told anew by each start of a process.
+/// Chosen anew by each start of a process.
 pub type Incarnation = u64;
 
 /// A gateway, by its number in the operators' list.
@@ -42,7 +42,7 @@
 
 /// How far one number may lead those known before: else one lying message could use all of them up. As epochs begin with
 /// Unix microseconds, it is some 35 years.
-pub const LEAP: u64 = 1 << 50;
+pub const MAX_ADVANCE: u64 = 1 << 50;
 
 /// What all members of a fleet must have alike.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -65,7 +65,7 @@
     }
 
     /// How often a holder asks anew: three rounds may be lost but for one.
-    pub fn beat(&self) -> Micros {
+    pub fn heartbeat(&self) -> Micros {
         (self.lease / 3).max(1)
     }
 
--- a/crates/homes/src/voter.rs
+++ b/crates/homes/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter's promises: to whom it has granted each slice, and until when it grants it to nobody else.
 
 use crate::message::Sender;
-use crate::{Epoch, LEAP, Micros, Rules, Slice};
+use crate::{Epoch, MAX_ADVANCE, Micros, Rules, Slice};
 use std::collections::BTreeMap;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -38,20 +38,23 @@
     }
 
     /// The latest epoch heard of.
-    pub fn known(&self, slice: Slice) -> Epoch {
+    pub fn latest_epoch(&self, slice: Slice) -> Epoch {
         self.epochs.get(&slice).copied().unwrap_or(self.floor)
     }
 
     /// Takes note of an epoch that another has told of, if it can be true.
-    pub fn learn(&mut self, slice: Slice, epoch: Epoch) {
-        if slice.0 < self.rules.slices && epoch > self.known(slice) && epoch - self.known(slice) <= LEAP {
+    pub fn observe_epoch(&mut self, slice: Slice, epoch: Epoch) {
+        if slice.0 < self.rules.slices
+            && epoch > self.latest_epoch(slice)
+            && epoch - self.latest_epoch(slice) <= MAX_ADVANCE
+        {
             self.epochs.insert(slice, epoch);
         }
     }
 
     pub fn ask(&mut self, now: Micros, holder: Sender, slice: Slice, epoch: Epoch) -> Vote {
-        let known = self.known(slice);
-        if slice.0 >= self.rules.slices || epoch > known.saturating_add(LEAP) {
+        let known = self.latest_epoch(slice);
+        if slice.0 >= self.rules.slices || epoch > known.saturating_add(MAX_ADVANCE) {
             return Vote::Denied(known);
         }
         if now < self.silent_until {
@@ -64,7 +67,7 @@
         // A voter that lost its memory knows no promise of a tenure that its holder renews: granting it again is safe,
         // as nobody else can have been granted that epoch.
         if renewed || (free && epoch > known) {
-            self.learn(slice, epoch);
+            self.observe_epoch(slice, epoch);
             let until = now + self.rules.promise();
             self.promises.insert(slice, Promise { holder, epoch, until });
             return Vote::Granted;
@@ -109,7 +112,7 @@
     #[case::more_of_it(12_000, sender(1, 1), 5, Vote::Granted)]
     #[case::the_same_with_a_new_epoch(12_000, sender(1, 1), 6, Vote::Granted)]
     #[case::the_same_after_a_restart(10_100, sender(1, 2), 6, Vote::Denied(5))]
-    #[case::an_epoch_that_leaps(14_000, sender(2, 1), 6 + LEAP, Vote::Denied(5))]
+    #[case::an_epoch_that_leaps(14_000, sender(2, 1), 6 + MAX_ADVANCE, Vote::Denied(5))]
     fn it_grants_one_at_a_time(
         #[case] now: Micros,
         #[case] whom: Sender,
--- a/crates/homes/tests/fleet.rs
+++ b/crates/homes/tests/fleet.rs
@@ -3,17 +3,17 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
-use sagearch_homes::claims::Change;
+use sagearch_homes::claims::ClaimChange;
 use sagearch_homes::holder::Holder;
-use sagearch_homes::message::{Claims, Leases, Out, Sender};
-use sagearch_homes::{Claim, Epoch, Member, Principals, Region, Rules, Slice, place};
+use sagearch_homes::message::{Claims, LeaseMessage, Out, Sender};
+use sagearch_homes::{Claim, Epoch, Member, Principals, Region, Rules, Slice, placement};
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 const MS: u64 = 1_000;
 const SECOND: u64 = 1_000 * MS;
 
 enum Body {
-    Lease(Sender, Leases),
+    Lease(Sender, LeaseMessage),
     Claims(Region, Claims),
 }
 
@@ -110,7 +110,7 @@
                 self.halved != Some(region) || self.half(usize::from(member.0)) == self.half(at)
             };
             let seen = all.iter().copied().filter(near).collect();
-            self.gateways[at].holder.alive(seen);
+            self.gateways[at].holder.set_alive(seen);
         }
     }
 
@@ -147,11 +147,11 @@
             match body {
                 Body::Lease(from, leases) => {
                     let mut out = Out::new();
-                    self.gateways[to].holder.hear(clock, from, &leases, &mut out);
+                    self.gateways[to].holder.receive(clock, from, &leases, &mut out);
                     self.leases(now, to, out);
                 }
                 Body::Claims(region, claims) => {
-                    let (answer, changes) = self.gateways[to].principals.hear(clock, region, &claims);
+                    let (answer, changes) = self.gateways[to].principals.receive(clock, region, &claims);
                     self.note(&changes);
                     if let Some(answer) = answer {
                         self.tell(now, to, &[answer], Some(usize::from(region.0)));
@@ -161,9 +161,9 @@
         }
     }
 
-    fn note(&mut self, changes: &[Change]) {
-        self.fences += changes.iter().filter(|change| matches!(change, Change::Fenced { .. })).count();
-        self.splits += changes.iter().filter(|change| matches!(change, Change::Split { .. })).count();
+    fn note(&mut self, changes: &[ClaimChange]) {
+        self.fences += changes.iter().filter(|change| matches!(change, ClaimChange::Fenced { .. })).count();
+        self.splits += changes.iter().filter(|change| matches!(change, ClaimChange::Split { .. })).count();
     }
 
     fn leases(&mut self, now: u64, from: usize, out: Out) {
@@ -178,10 +178,10 @@
         let own = self.region(from);
         for region in (0..self.regions).filter(|region| *region != own && only.is_none_or(|it| it == *region))
         {
-            for told in claims.iter().flat_map(|claims| &claims.0) {
+            for status in claims.iter().flat_map(|claims| &claims.0) {
                 let members = self.members(region).map(|at| Member(at as u16));
-                let Some(home) = place::member(told.slice, members) else { continue };
-                let one = Claims(vec![*told]);
+                let Some(home) = placement::member(status.slice, members) else { continue };
+                let one = Claims(vec![*status]);
                 self.send(now, from, usize::from(home.0), || Body::Claims(Region(own as u8), one.clone()));
             }
         }
--- a/crates/homes/tests/model.rs
+++ b/crates/homes/tests/model.rs
@@ -3,8 +3,8 @@
 //! with all that they knew.
 
 use sagearch_homes::holder::Holder;
-use sagearch_homes::message::{Claims, Leases, Out, Sender};
-use sagearch_homes::{Claim, Member, Principals, Region, Rules, Slice, place};
+use sagearch_homes::message::{Claims, LeaseMessage, Out, Sender};
+use sagearch_homes::{Claim, Member, Principals, Region, Rules, Slice, placement};
 use stateright::{Checker, Model, Property};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -29,7 +29,7 @@
 struct World {
     tick: u64,
     members: Vec<(Sender, Holder)>,
-    net: BTreeSet<(Sender, Member, Leases)>,
+    net: BTreeSet<(Sender, Member, LeaseMessage)>,
     crashes: u8,
     yields: u8,
     /// Tenures that have been: no two may have one epoch.
@@ -41,7 +41,7 @@
 enum Action {
     Tick,
     Step(usize),
-    Deliver(Sender, Member, Leases),
+    Deliver(Sender, Member, LeaseMessage),
     Crash(usize),
     /// It hears of the others, and finds that the slice is not its own.
     Yield(usize),
@@ -63,7 +63,7 @@
         let mut holder = // Unix time is the least epoch that can be new: it outlives what members forget.
         Holder::new(RULES, me, vec![voters], now, now);
         if me.member == Member(2) {
-            holder.alive((0..2).map(Member).collect());
+            holder.set_alive((0..2).map(Member).collect());
         }
         holder
     }
@@ -135,7 +135,7 @@
             Action::Deliver(from, to, message) => {
                 let member = usize::from(to.0);
                 let now = self.clock(&world, member);
-                world.members[member].1.hear(now, from, &message, &mut out);
+                world.members[member].1.receive(now, from, &message, &mut out);
                 self.send(&mut world, member, out);
                 self.note(&mut world, member);
             }
@@ -147,11 +147,11 @@
                 world.crashes -= 1;
             }
             Action::Yield(member) => {
-                let other = place::member(SLICE, (0..3).map(Member))?;
+                let other = placement::member(SLICE, (0..3).map(Member))?;
                 if usize::from(other.0) == member {
                     return None;
                 }
-                world.members[member].1.alive((0..3).map(Member).collect());
+                world.members[member].1.set_alive((0..3).map(Member).collect());
                 world.yields -= 1;
             }
         }
@@ -259,7 +259,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Told {
+enum RegionAction {
     Tick,
     Step(usize),
     Deliver(usize, Claims),
@@ -278,7 +278,7 @@
         let (epoch, principals) = &world.homes[home];
         let Some(claim) = principals.principal(now, SLICE, Some(*epoch)) else { return };
         let all = [Region(0), Region(1)];
-        let back = |last: &Claim| sagearch_homes::claims::order(SLICE, &claim, last, &all).is_lt();
+        let back = |last: &Claim| sagearch_homes::claims::compare(SLICE, &claim, last, &all).is_lt();
         world.wrong |=
             world.acted[home].as_ref().is_some_and(back) || principals.floors.fenced(SLICE, &claim);
         world.acted[home] = Some(claim);
@@ -287,7 +287,7 @@
 
 impl Model for Fence {
     type State = Regions;
-    type Action = Told;
+    type Action = RegionAction;
 
     fn init_states(&self) -> Vec<Regions> {
         let homes = (0..2).map(|region| (1, Fence::home(region, 1))).collect();
@@ -295,35 +295,35 @@
         vec![Regions { tick: 0, homes, net, crashes: self.crashes, acted: vec![None; 2], wrong: false }]
     }
 
-    fn actions(&self, world: &Regions, actions: &mut Vec<Told>) {
+    fn actions(&self, world: &Regions, actions: &mut Vec<RegionAction>) {
         if world.tick < self.ticks {
-            actions.push(Told::Tick);
+            actions.push(RegionAction::Tick);
         }
-        actions.extend((0..2).map(Told::Step));
-        actions.extend(world.net.iter().map(|(from, claims)| Told::Deliver(*from, claims.clone())));
+        actions.extend((0..2).map(RegionAction::Step));
+        actions.extend(world.net.iter().map(|(from, claims)| RegionAction::Deliver(*from, claims.clone())));
         if world.crashes > 0 {
-            actions.extend((0..2).map(Told::Crash));
+            actions.extend((0..2).map(RegionAction::Crash));
         }
     }
 
-    fn next_state(&self, last: &Regions, action: Told) -> Option<Regions> {
+    fn next_state(&self, last: &Regions, action: RegionAction) -> Option<Regions> {
         let mut world = last.clone();
         let now = 1_000_000 + world.tick * TICK;
         match action {
-            Told::Tick => world.tick += 1,
-            Told::Step(home) => {
+            RegionAction::Tick => world.tick += 1,
+            RegionAction::Step(home) => {
                 let (epoch, principals) = &mut world.homes[home];
                 let (out, _) = principals.tick(now, &BTreeMap::from([(SLICE, *epoch)]));
                 world.net.extend(out.into_iter().map(|claims| (home, claims)));
                 Fence::note(&mut world, home);
             }
-            Told::Deliver(from, claims) => {
+            RegionAction::Deliver(from, claims) => {
                 let to = 1 - from;
-                let (answer, _) = world.homes[to].1.hear(now, Region(from as u8), &claims);
+                let (answer, _) = world.homes[to].1.receive(now, Region(from as u8), &claims);
                 world.net.extend(answer.map(|claims| (to, claims)));
                 Fence::note(&mut world, to);
             }
-            Told::Crash(home) => {
+            RegionAction::Crash(home) => {
                 // The next home of the region has a later epoch, and knows no claim.
                 let epoch = world.homes[home].0 + 1;
                 world.homes[home] = (epoch, Fence::home(home, epoch));
--- a/src/net/shared/accounts.rs
+++ b/src/net/shared/accounts.rs
@@ -1,7 +1,7 @@
 //! The ledger: one account for each budget, with its bank while this gateway is the budget's home.
 
 use sagearch_homes::message::Sender;
-use sagearch_homes::place::mix;
+use sagearch_homes::placement::mix;
 use sagearch_homes::{Claim, Epoch, Micros, Region, Slice};
 use sagearch_ledger::{Amount, Bank, Tally, Terms, UNIT};
 use std::collections::BTreeMap;
--- a/src/net/shared/datagrams.rs
+++ b/src/net/shared/datagrams.rs
@@ -3,7 +3,7 @@
 use super::outbox::Out;
 use super::wire::{self, Body};
 use super::{Shared, lock};
-use sagearch_homes::message::{self, Claims, Leases, Sender};
+use sagearch_homes::message::{self, Claims, LeaseMessage, Sender};
 use sagearch_homes::{Floors, Member, Micros, Region};
 use std::net::SocketAddr;
 
@@ -51,9 +51,9 @@
         self.send(out.into_iter().map(|(to, bytes)| (to, Body::Alive(bytes))).collect());
     }
 
-    fn receive_lease(&self, now: Micros, who: Sender, leases: &Leases) {
+    fn receive_lease(&self, now: Micros, who: Sender, leases: &LeaseMessage) {
         let mut answers = message::Out::new();
-        let changes = lock(&self.homes).holder.hear(now, who, leases, &mut answers);
+        let changes = lock(&self.homes).holder.receive(now, who, leases, &mut answers);
         self.record_leases(now, changes);
         self.send(answers.into_iter().map(|(to, message)| (to, Body::Lease(message))).collect());
     }
@@ -72,11 +72,11 @@
     ) -> (Option<Claims>, Out) {
         let mut homes = lock(&self.homes);
         let known = |floors: &Floors| {
-            let claim = |told: &message::Told| floors.get(told.slice).map(|floor| floor.claim);
+            let claim = |status: &message::ClaimStatus| floors.get(status.slice).map(|floor| floor.claim);
             claims.0.iter().map(claim).collect::<Vec<_>>()
         };
         let before = known(&homes.principals.floors);
-        let (answer, changes) = homes.principals.hear(now, region, claims);
+        let (answer, changes) = homes.principals.receive(now, region, claims);
         if before != known(&homes.principals.floors) {
             self.publish(&homes);
         }
--- a/src/net/shared/grants.rs
+++ b/src/net/shared/grants.rs
@@ -18,7 +18,7 @@
         let Some((slice, _)) = self.budget_terms(budget) else { return };
         let now = self.clock.now();
         let own = self.directory.own();
-        let to = lock(&self.homes).holder.belongs(slice);
+        let to = lock(&self.homes).holder.preferred_home(slice);
         if to != own.member {
             return self.send(vec![(to, Body::Ask { budget, ask })]);
         }
--- a/src/net/shared/homes.rs
+++ b/src/net/shared/homes.rs
@@ -35,7 +35,7 @@
     pub fn update_members(&mut self, counted: &Counted) {
         let members = self.alive.members();
         counted.members.set(members.len() as i64);
-        self.holder.alive(members);
+        self.holder.set_alive(members);
     }
 
     /// The claims under which this gateway is principal of slices that it holds.
--- a/src/net/shared/loans.rs
+++ b/src/net/shared/loans.rs
@@ -4,7 +4,7 @@
 use super::outbox::Out;
 use super::wire::{Loan, RemoteMessage};
 use super::{Shared, lock};
-use sagearch_homes::message::{Claims, Sender, Told};
+use sagearch_homes::message::{ClaimStatus, Claims, Sender};
 use sagearch_homes::{Claim, Epoch, Micros, Region, Slice};
 use std::collections::BTreeMap;
 
@@ -47,7 +47,7 @@
         };
         let (epoch, belongs) = {
             let homes = lock(&self.homes);
-            (homes.holder.holds(now, slice), homes.holder.belongs(slice))
+            (homes.holder.holds(now, slice), homes.holder.preferred_home(slice))
         };
         let Some(epoch) = epoch else {
             if !forwarded && belongs != self.directory.own().member {
@@ -55,8 +55,8 @@
             }
             return;
         };
-        let told = Told { slice, claim: request.claim, age: Some(0) };
-        let (answer, mut out) = self.receive_claims(now, region, &Claims(vec![told]));
+        let status = ClaimStatus { slice, claim: request.claim, age: Some(0) };
+        let (answer, mut out) = self.receive_claims(now, region, &Claims(vec![status]));
         // A claim that has lost borrows nothing.
         let answer = answer.map_or_else(
             || RemoteMessage::LoanGranted(self.grant_loan(now, epoch, request)),
--- a/src/net/shared/periodic.rs
+++ b/src/net/shared/periodic.rs
@@ -5,7 +5,7 @@
 use super::wire::Body;
 use super::workers::Work;
 use super::{LOG_TARGET, Shared, lock};
-use sagearch_homes::message::{self, Leases};
+use sagearch_homes::message::{self, LeaseMessage};
 use sagearch_homes::{Epoch, Member, Micros, Slice};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -45,7 +45,7 @@
 
     /// A side without a majority has no home: everyone is on what it has alone.
     fn watch_majority(&self, now: Micros, homes: &mut Homes, none_held: bool) {
-        let missing = none_held && homes.holder.wanting(now) > 0;
+        let missing = none_held && homes.holder.missing_leases(now) > 0;
         match homes.majority.update(now, missing, MAJORITY_GRACE * self.rules.promise()) {
             None => {}
             Some(MajorityChange::Lost) => {
@@ -86,8 +86,8 @@
         drop(homes);
         let mut out: Out = alive.into_iter().map(|(to, bytes)| (to, Body::Alive(bytes))).collect();
         for (epoch, slices) in held {
-            for part in slices.chunks(message::SLICES) {
-                let released = Leases::Released { epoch, slices: part.to_vec() };
+            for part in slices.chunks(message::MAX_SLICES) {
+                let released = LeaseMessage::Released { epoch, slices: part.to_vec() };
                 out.extend(voters.iter().map(|voter| (*voter, Body::Lease(released.clone()))));
             }
         }
--- a/src/net/shared/record.rs
+++ b/src/net/shared/record.rs
@@ -3,19 +3,17 @@
 use super::outbox::Out;
 use super::wire::Body;
 use super::{LOG_TARGET, Shared, claim_fields, lock};
-use sagearch_homes::claims::Change as Claimed;
-use sagearch_homes::holder::{Change, Why};
-use sagearch_homes::message::{Claims, Told};
-use sagearch_homes::{Claim, Micros, Slice};
+use sagearch_homes::message::{ClaimStatus, Claims};
+use sagearch_homes::{Claim, ClaimChange, LeaseChange, LossReason, Micros, Slice};
 
 impl Shared {
     /// Records what has changed. Returns what others are to be told of it.
-    pub(super) fn record(&self, now: Micros, changes: Vec<Change>, claims: Vec<Claimed>) -> Out {
+    pub(super) fn record(&self, now: Micros, changes: Vec<LeaseChange>, claims: Vec<ClaimChange>) -> Out {
         self.record_leases(now, changes);
         self.record_claims(now, claims)
     }
 
-    pub(super) fn record_leases(&self, now: Micros, changes: Vec<Change>) {
+    pub(super) fn record_leases(&self, now: Micros, changes: Vec<LeaseChange>) {
         if changes.is_empty() {
             return;
         }
@@ -24,16 +22,16 @@
         let mut ledger = lock(&self.ledger);
         for change in changes {
             match change {
-                Change::Gained(slice, epoch) => {
+                LeaseChange::Gained(slice, epoch) => {
                     gained += 1;
                     log::debug!(target: LOG_TARGET, "gained slice={} epoch={epoch} at={at}", slice.0);
                     let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
                     accounts.for_each(|account| account.open(epoch, now));
                 }
-                Change::Lost(slice, epoch, why) => {
+                LeaseChange::Lost(slice, epoch, why) => {
                     match why {
-                        Why::Moved => moved += 1,
-                        Why::Lapsed => lapsed += 1,
+                        LossReason::Moved => moved += 1,
+                        LossReason::Lapsed => lapsed += 1,
                     }
                     log::debug!(target: LOG_TARGET, "lost slice={} epoch={epoch} at={at}", slice.0);
                     let accounts = ledger.iter_mut().filter(|account| account.slice == slice);
@@ -50,22 +48,22 @@
         }
     }
 
-    pub(super) fn record_claims(&self, now: Micros, changes: Vec<Claimed>) -> Out {
+    pub(super) fn record_claims(&self, now: Micros, changes: Vec<ClaimChange>) -> Out {
         let mut out = Out::new();
         let at = self.clock.unix_us(now);
         let (mut claimed, mut left) = (0_u64, 0_u64);
         for change in changes {
             match change {
-                Claimed::Claimed(slice, claim) => {
+                ClaimChange::Claimed(slice, claim) => {
                     claimed += 1;
                     log::debug!(target: LOG_TARGET, "claimed slice={} {} at={at}", slice.0, claim_fields(&claim));
                 }
-                Claimed::Left(slice, claim) => {
+                ClaimChange::Left(slice, claim) => {
                     left += 1;
                     log::debug!(target: LOG_TARGET, "left slice={} {} at={at}", slice.0, claim_fields(&claim));
                 }
-                Claimed::Split { slice, lost, won } => self.record_split(at, slice, &lost, &won),
-                Claimed::Fenced { slice, lost, won } => {
+                ClaimChange::Split { slice, lost, won } => self.record_split(at, slice, &lost, &won),
+                ClaimChange::Fenced { slice, lost, won } => {
                     self.record_fenced(at, slice, &lost, &won);
                     out.extend(self.fence_neighbours(slice, won));
                 }
@@ -109,8 +107,8 @@
 
     /// All of the region who may hold something under a claim that has lost hear at once, and not when it ends.
     fn fence_neighbours(&self, slice: Slice, won: Claim) -> Out {
-        let told = Told { slice, claim: won, age: Some(0) };
-        let fence = |member| (member, Body::Fence(Claims(vec![told])));
+        let status = ClaimStatus { slice, claim: won, age: Some(0) };
+        let fence = |member| (member, Body::Fence(Claims(vec![status])));
         self.directory.neighbours().map(fence).collect()
     }
 }
--- a/src/net/shared/regions.rs
+++ b/src/net/shared/regions.rs
@@ -4,7 +4,7 @@
 use super::outbox::Out;
 use super::wire::{Body, RemoteMessage};
 use super::{Shared, lock};
-use sagearch_homes::message::{Claims, Sender, Told};
+use sagearch_homes::message::{ClaimStatus, Claims, Sender};
 use sagearch_homes::{Member, Micros, Region};
 use std::collections::BTreeMap;
 
@@ -68,9 +68,9 @@
     /// To the homes of their slices in this region.
     fn forward_claims(&self, from: Sender, claims: Claims) -> Out {
         let homes = lock(&self.homes);
-        let mut by_home: BTreeMap<Member, Vec<Told>> = BTreeMap::new();
-        for told in claims.0 {
-            by_home.entry(homes.holder.belongs(told.slice)).or_default().push(told);
+        let mut by_home: BTreeMap<Member, Vec<ClaimStatus>> = BTreeMap::new();
+        for status in claims.0 {
+            by_home.entry(homes.holder.preferred_home(status.slice)).or_default().push(status);
         }
         drop(homes);
         by_home.remove(&self.directory.own().member);
--- a/src/net/shared/start.rs
+++ b/src/net/shared/start.rs
@@ -14,7 +14,7 @@
 use crossbeam_channel::bounded;
 use sagearch_homes::holder::Holder;
 use sagearch_homes::message::Sender;
-use sagearch_homes::place::mix;
+use sagearch_homes::placement::mix;
 use sagearch_homes::{Floors, Member, Micros, Principals, Region, Rules};
 use sagearch_ledger::{Budget, Purse, Terms, UNIT};
 use sagearch_operators::fleet::{self, Fleet};
--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -1,6 +1,6 @@
 //! What gateways of a fleet send one another: at most 256 bytes a datagram, by `postcard`, with a version in front.
 
-use sagearch_homes::message::{Claims, Leases};
+use sagearch_homes::message::{Claims, LeaseMessage};
 use sagearch_homes::{Claim, Epoch, Incarnation, Slice};
 use sagearch_ledger::{Amount, Ask, Grant};
 use serde::{Deserialize, Serialize};
@@ -24,7 +24,7 @@
 pub enum Body {
     /// Who is alive.
     Alive(Vec<u8>),
-    Lease(Leases),
+    Lease(LeaseMessage),
     /// To members of the own region: claims that have lost, above all.
     Fence(Claims),
     /// To another region. Who gets it and is not the slice's home hands it on, once.
@@ -124,25 +124,25 @@
 mod tests {
     use super::*;
     use rstest::rstest;
-    use sagearch_homes::message::{CLAIMS, DENIALS, SLICES};
-    use sagearch_homes::{Region, Told};
+    use sagearch_homes::message::{MAX_CLAIMS, MAX_DENIALS, MAX_SLICES};
+    use sagearch_homes::{ClaimStatus, Region};
 
     const LAST: Slice = Slice(4_095);
     const CLAIM: Claim =
         Claim { term: 1 << 40, region: Region(31), epoch: 1 << 53, incarnation: 1 << 53, handed_over: true };
 
     fn told() -> Claims {
-        Claims(vec![Told { slice: LAST, claim: CLAIM, age: Some(100_000) }; CLAIMS])
+        Claims(vec![ClaimStatus { slice: LAST, claim: CLAIM, age: Some(100_000) }; MAX_CLAIMS])
     }
 
     /// With numbers as large as they come in some hundred years.
     #[rstest]
     #[case::alive(Body::Alive(vec![7; MAX_PAYLOAD]))]
-    #[case::ask(Body::Lease(Leases::Ask { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES] }))]
-    #[case::granted(Body::Lease(Leases::Granted {
-        to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; SLICES]
+    #[case::ask(Body::Lease(LeaseMessage::Request { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES] }))]
+    #[case::granted(Body::Lease(LeaseMessage::Granted {
+        to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES]
     }))]
-    #[case::denied(Body::Lease(Leases::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); DENIALS] }))]
+    #[case::denied(Body::Lease(LeaseMessage::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); MAX_DENIALS] }))]
     #[case::fence(Body::Fence(told()))]
     #[case::claims(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::Claims(told()) })]
     #[case::lent(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::LoanGranted(Loan {
@@ -171,11 +171,11 @@
     /// Gateways of two versions of this program speak to each other: the bytes stay as long as `VERSION` does.
     #[rstest]
     #[case::alive(Body::Alive(vec![7, 8]), &[0, 2, 7, 8])]
-    #[case::ask_lease(Body::Lease(Leases::Ask { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
-    #[case::granted(Body::Lease(Leases::Granted { to: 9, round: 2, epoch: 6, slices: vec![Slice(4)] }), &[1, 1, 9, 2, 6, 1, 4])]
-    #[case::denied(Body::Lease(Leases::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
-    #[case::released(Body::Lease(Leases::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
-    #[case::fence(Body::Fence(Claims(vec![Told { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
+    #[case::ask_lease(Body::Lease(LeaseMessage::Request { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
+    #[case::granted(Body::Lease(LeaseMessage::Granted { to: 9, round: 2, epoch: 6, slices: vec![Slice(4)] }), &[1, 1, 9, 2, 6, 1, 4])]
+    #[case::denied(Body::Lease(LeaseMessage::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
+    #[case::released(Body::Lease(LeaseMessage::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
+    #[case::fence(Body::Fence(Claims(vec![ClaimStatus { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
     #[case::claims(Body::Remote { from: 9, incarnation: 10, forwarded: false, message: RemoteMessage::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
     #[case::want(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanRequest(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
     #[case::lent(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanGranted(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
--- a/src/net/shared/workers.rs
+++ b/src/net/shared/workers.rs
@@ -4,7 +4,7 @@
 use super::{LOG_TARGET, Shared, lock, wire};
 use crossbeam_channel::{Receiver, RecvTimeoutError, TrySendError};
 use sagearch_homes::Micros;
-use sagearch_homes::place::mix;
+use sagearch_homes::placement::mix;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
