Ledger: names of crates/ledger in the field's terms

Ask is GrantRequest, which a purse makes by request() and a bank answers by grant(); Asked is AnsweredRequest; Part is Loan, whose whom is counterparty; lasts is grant_lifetime; most is capacity; KEPT, PARTS, LEASES and EXPECTED are MAX_*; ASKS is REQUESTS_PER_LIFETIME.

--- a/crates/ledger/src/bank.rs
+++ b/crates/ledger/src/bank.rs
@@ -1,29 +1,29 @@
 //! What a budget's home hands out.
 
 use crate::bucket::{Amount, Bucket, UNIT};
-use crate::{Ask, Grant, Micros, Terms};
+use crate::{Grant, GrantRequest, Micros, Terms};
 use std::collections::BTreeMap;
 
 /// A purse and its process.
-pub type Asker = (u16, u64);
+pub type Requester = (u16, u64);
 
 /// A part of the rate that was lent to another region's bank, or borrowed from one, for a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct Part {
-    whom: u64,
+struct Loan {
+    counterparty: u64,
     rate: Amount,
     from: Micros,
     until: Micros,
 }
 
-impl Part {
+impl Loan {
     fn overlap(&self, from: Micros, until: Micros) -> Micros {
         self.until.min(until).saturating_sub(self.from.max(from))
     }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Asked {
+struct AnsweredRequest {
     incarnation: u64,
     number: u32,
     answer: Amount,
@@ -36,22 +36,22 @@
 pub struct Bank {
     terms: Terms,
     bucket: Bucket,
-    asked: BTreeMap<u16, Asked>,
-    lent: Vec<Part>,
-    borrowed: Vec<Part>,
+    answered: BTreeMap<u16, AnsweredRequest>,
+    lent: Vec<Loan>,
+    borrowed: Vec<Loan>,
     /// All that was handed out in this tenure.
     issued: Amount,
 }
 
 /// Parts of the rate that are remembered in each direction.
-const PARTS: usize = 64;
+const MAX_LOANS: usize = 64;
 
 impl Bank {
     pub fn new(terms: Terms, now: Micros) -> Bank {
         Bank {
             terms,
-            bucket: Bucket::new(terms.most, now),
-            asked: BTreeMap::new(),
+            bucket: Bucket::new(terms.capacity, now),
+            answered: BTreeMap::new(),
             lent: Vec::new(),
             borrowed: Vec::new(),
             issued: 0,
@@ -69,15 +69,15 @@
     /// The rate, times microseconds, that was lent out over a span: to each borrower the most that any of its loans
     /// then in force states, as it may have heard of each.
     fn lent_over(&self, from: Micros, until: Micros) -> u128 {
-        let mut cuts: Vec<Micros> = self.lent.iter().flat_map(|part| [part.from, part.until]).collect();
+        let mut cuts: Vec<Micros> = self.lent.iter().flat_map(|loan| [loan.from, loan.until]).collect();
         cuts.extend([from, until]);
         cuts.retain(|at| (from..=until).contains(at));
         cuts.sort_unstable();
         let over = |pair: &[Micros]| {
             let mut most: BTreeMap<u64, Amount> = BTreeMap::new();
-            for part in self.lent.iter().filter(|part| part.overlap(pair[0], pair[1]) > 0) {
-                let rate = most.entry(part.whom).or_default();
-                *rate = (*rate).max(part.rate);
+            for loan in self.lent.iter().filter(|loan| loan.overlap(pair[0], pair[1]) > 0) {
+                let rate = most.entry(loan.counterparty).or_default();
+                *rate = (*rate).max(loan.rate);
             }
             u128::from(most.values().sum::<Amount>()) * u128::from(pair[1] - pair[0])
         };
@@ -90,50 +90,57 @@
         let borrowed: u128 = self
             .borrowed
             .iter()
-            .map(|part| u128::from(part.rate) * u128::from(part.overlap(from, now)))
+            .map(|loan| u128::from(loan.rate) * u128::from(loan.overlap(from, now)))
             .sum();
         let fine = (own + borrowed).saturating_sub(self.lent_over(from, now.max(from)));
         self.bucket.fill(now, 0);
         self.bucket.add(fine);
-        self.lent.retain(|part| now < part.until);
-        self.borrowed.retain(|part| now < part.until);
+        self.lent.retain(|loan| now < loan.until);
+        self.borrowed.retain(|loan| now < loan.until);
     }
 
     /// Hands out what is there, in proportion to what others have lately wanted as well. `None`: a message of before.
-    pub fn ask(&mut self, now: Micros, (member, incarnation): Asker, ask: Ask) -> Option<Grant> {
+    pub fn grant(
+        &mut self,
+        now: Micros,
+        (member, incarnation): Requester,
+        request: GrantRequest,
+    ) -> Option<Grant> {
         self.fill(now);
-        let lasts = self.terms.lasts;
-        self.asked.retain(|_, asked| now < asked.at + lasts * 8);
-        if let Some(asked) = self.asked.get(&member).filter(|asked| asked.incarnation == incarnation) {
-            if ask.number == asked.number {
-                return Some(Grant { to: incarnation, number: ask.number, amount: asked.answer });
+        let lasts = self.terms.grant_lifetime;
+        self.answered.retain(|_, answered| now < answered.at + lasts * 8);
+        if let Some(answered) =
+            self.answered.get(&member).filter(|answered| answered.incarnation == incarnation)
+        {
+            if request.number == answered.number {
+                return Some(Grant { to: incarnation, number: request.number, amount: answered.answer });
             }
             // Numbers go round; what lies behind is late.
-            if ask.number.wrapping_sub(asked.number) > u32::MAX / 2 {
+            if request.number.wrapping_sub(answered.number) > u32::MAX / 2 {
                 return None;
             }
         }
-        let recent = |(other, asked): (&u16, &Asked)| {
-            (*other != member && now < asked.at + lasts).then_some(u128::from(asked.want))
+        let recent = |(other, answered): (&u16, &AnsweredRequest)| {
+            (*other != member && now < answered.at + lasts).then_some(u128::from(answered.want))
         };
-        let others: u128 = self.asked.iter().filter_map(recent).sum();
-        let (level, want) = (self.bucket.level(), ask.want);
-        let part = (u128::from(level) * u128::from(want) / (others + u128::from(want)).max(1)) as Amount;
+        let others: u128 = self.answered.iter().filter_map(recent).sum();
+        let (level, want) = (self.bucket.level(), request.want);
+        let share = (u128::from(level) * u128::from(want) / (others + u128::from(want)).max(1)) as Amount;
         // Whole calls: what is less pays for nothing and would be lost. Where there are fewer than who want, the first.
-        let amount = want.min(part.max(level.min(UNIT))) / UNIT * UNIT;
+        let amount = want.min(share.max(level.min(UNIT))) / UNIT * UNIT;
         if !self.bucket.take(amount) {
             return None;
         }
         self.issued += amount;
-        let asked = Asked { incarnation, number: ask.number, answer: amount, want, at: now };
-        self.asked.insert(member, asked);
-        Some(Grant { to: incarnation, number: ask.number, amount })
+        let answered = AnsweredRequest { incarnation, number: request.number, answer: amount, want, at: now };
+        self.answered.insert(member, answered);
+        Some(Grant { to: incarnation, number: request.number, amount })
     }
 
     /// What this region's gateways lately wanted, a second.
     pub fn demand(&self, now: Micros) -> Amount {
-        let lasts = self.terms.lasts;
-        let wanted: Amount = self.asked.values().filter(|it| now < it.at + lasts).map(|it| it.want).sum();
+        let lasts = self.terms.grant_lifetime;
+        let wanted: Amount = self.answered.values().filter(|it| now < it.at + lasts).map(|it| it.want).sum();
         (u128::from(wanted) * 1_000_000 / u128::from(lasts.max(1))) as Amount
     }
 
@@ -145,20 +152,20 @@
     /// Lends a rate to another region's bank, told apart by its claim, from now on for `lasts` of this clock. What that
     /// bank may have been lent before stays out until its own time. What this region's own gateways lately wanted is
     /// kept.
-    pub fn lend(&mut self, now: Micros, whom: u64, want: Amount, lasts: Micros) -> Amount {
+    pub fn lend(&mut self, now: Micros, counterparty: u64, want: Amount, lasts: Micros) -> Amount {
         self.fill(now);
         let own = self.demand(now);
         let to_others: Amount = {
             let mut most: BTreeMap<u64, Amount> = BTreeMap::new();
-            for part in self.lent.iter().filter(|part| part.whom != whom) {
-                let rate = most.entry(part.whom).or_default();
-                *rate = (*rate).max(part.rate);
+            for loan in self.lent.iter().filter(|loan| loan.counterparty != counterparty) {
+                let rate = most.entry(loan.counterparty).or_default();
+                *rate = (*rate).max(loan.rate);
             }
             most.values().sum()
         };
         let rate = want.min(self.terms.rate.saturating_sub(own.saturating_add(to_others)));
-        if rate > 0 && self.lent.len() < PARTS {
-            self.lent.push(Part { whom, rate, from: now, until: now + lasts });
+        if rate > 0 && self.lent.len() < MAX_LOANS {
+            self.lent.push(Loan { counterparty, rate, from: now, until: now + lasts });
             return rate;
         }
         0
@@ -166,11 +173,11 @@
 
     /// Borrows, until a time that began when it was asked for. A new loan of the same lender takes the place of the one
     /// before.
-    pub fn borrow(&mut self, now: Micros, whom: u64, rate: Amount, until: Micros) {
+    pub fn borrow(&mut self, now: Micros, counterparty: u64, rate: Amount, until: Micros) {
         self.fill(now);
-        self.borrowed.retain(|part| part.whom != whom);
-        if now < until && self.borrowed.len() < PARTS {
-            self.borrowed.push(Part { whom, rate, from: now, until });
+        self.borrowed.retain(|loan| loan.counterparty != counterparty);
+        if now < until && self.borrowed.len() < MAX_LOANS {
+            self.borrowed.push(Loan { counterparty, rate, from: now, until });
         }
     }
 }
@@ -189,29 +196,37 @@
     fn a_new_one_is_empty_and_fills_by_the_rate_to_the_most() {
         let mut bank = Bank::new(terms(), 0);
         let want = 100 * UNIT;
-        assert_eq!(bank.ask(0, (1, 1), Ask { number: 1, want }), Some(Grant { to: 1, number: 1, amount: 0 }));
-        assert_eq!(bank.ask(500_000, (1, 1), Ask { number: 2, want }).unwrap().amount, 4_000);
-        assert_eq!(bank.ask(60_000_000, (1, 1), Ask { number: 3, want }).unwrap().amount, 6_000);
+        assert_eq!(
+            bank.grant(0, (1, 1), GrantRequest { number: 1, want }),
+            Some(Grant { to: 1, number: 1, amount: 0 })
+        );
+        assert_eq!(bank.grant(500_000, (1, 1), GrantRequest { number: 2, want }).unwrap().amount, 4_000);
+        assert_eq!(bank.grant(60_000_000, (1, 1), GrantRequest { number: 3, want }).unwrap().amount, 6_000);
     }
 
     #[test]
     fn a_message_that_comes_twice_hands_out_once() {
         let mut bank = Bank::new(terms(), 0);
-        let first = bank.ask(500_000, (1, 1), Ask { number: 7, want: UNIT });
-        assert_eq!(bank.ask(500_100, (1, 1), Ask { number: 7, want: UNIT }), first);
+        let first = bank.grant(500_000, (1, 1), GrantRequest { number: 7, want: UNIT });
+        assert_eq!(bank.grant(500_100, (1, 1), GrantRequest { number: 7, want: UNIT }), first);
         assert_eq!((bank.issued(), bank.level()), (UNIT, 3_500));
-        assert_eq!(bank.ask(500_100, (1, 1), Ask { number: 6, want: UNIT }), None, "a late one");
-        assert!(bank.ask(500_200, (1, 2), Ask { number: 7, want: UNIT }).is_some(), "of another process");
+        assert_eq!(bank.grant(500_100, (1, 1), GrantRequest { number: 6, want: UNIT }), None, "a late one");
+        assert!(
+            bank.grant(500_200, (1, 2), GrantRequest { number: 7, want: UNIT }).is_some(),
+            "of another process"
+        );
     }
 
     #[test]
     fn who_asks_first_does_not_get_all_where_others_want_too() {
         let mut bank = Bank::new(terms(), 0);
         for member in 1..=3 {
-            bank.ask(0, (member, 1), Ask { number: 1, want: 10 * UNIT });
+            bank.grant(0, (member, 1), GrantRequest { number: 1, want: 10 * UNIT });
         }
         let amounts: Vec<Amount> = (1..=3)
-            .map(|member| bank.ask(400_000, (member, 1), Ask { number: 2, want: 10 * UNIT }).unwrap().amount)
+            .map(|member| {
+                bank.grant(400_000, (member, 1), GrantRequest { number: 2, want: 10 * UNIT }).unwrap().amount
+            })
             .collect();
         assert_eq!(amounts, [UNIT, UNIT, UNIT]);
     }
--- a/crates/ledger/src/bucket.rs
+++ b/crates/ledger/src/bucket.rs
@@ -11,7 +11,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Bucket {
-    most: Amount,
+    capacity: Amount,
     /// In millionths of an amount: a rate a second times microseconds.
     level: u128,
     at: Micros,
@@ -19,8 +19,8 @@
 
 impl Bucket {
     /// An empty one: who restarts gets nothing for it.
-    pub fn new(most: Amount, now: Micros) -> Bucket {
-        Bucket { most, level: 0, at: now }
+    pub fn new(capacity: Amount, now: Micros) -> Bucket {
+        Bucket { capacity, level: 0, at: now }
     }
 
     /// Lets it fill until now. A clock that steps back fills nothing.
@@ -31,7 +31,7 @@
 
     /// Adds amounts times microseconds.
     pub fn add(&mut self, fine: u128) {
-        self.level = (self.level + fine).min(u128::from(self.most) * FINE);
+        self.level = (self.level + fine).min(u128::from(self.capacity) * FINE);
     }
 
     pub fn filled_until(&self) -> Micros {
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -47,11 +47,11 @@
     /// What the bank may hand out, a second.
     pub rate: Amount,
     /// What it may hold.
-    pub most: Amount,
+    pub capacity: Amount,
     /// How long an amount lasts, from when it was asked for.
-    pub lasts: Micros,
+    pub grant_lifetime: Micros,
     pub floor_rate: Amount,
-    pub floor_most: Amount,
+    pub floor_capacity: Amount,
 }
 
 impl Budget {
@@ -72,17 +72,17 @@
             |amount: Amount| (u128::from(amount) * 1_000_000 / u128::from(window.max(1))) as Amount;
         Ok(Terms {
             rate: per_second(amount - apart),
-            most: amount * overdraft / 4_000,
-            lasts: window * overdraft / 5_000,
+            capacity: amount * overdraft / 4_000,
+            grant_lifetime: window * overdraft / 5_000,
             floor_rate: per_second(apart) / gateways,
-            floor_most: amount * overdraft / 4_000 / gateways,
+            floor_capacity: amount * overdraft / 4_000 / gateways,
         })
     }
 }
 
 /// A purse asks its bank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Ask {
+pub struct GrantRequest {
     /// Told apart by number: a message that comes twice is answered with the same.
     pub number: u32,
     pub want: Amount,
--- a/crates/ledger/src/purse.rs
+++ b/crates/ledger/src/purse.rs
@@ -1,7 +1,7 @@
 //! What one gateway has of a budget.
 
 use crate::bucket::{Amount, Bucket, UNIT};
-use crate::{Ask, Grant, Micros, Terms};
+use crate::{Grant, GrantRequest, Micros, Terms};
 
 /// From what something was paid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,7 +18,7 @@
     pub amount: Amount,
     pub until: Micros,
     /// Under what it was handed out: void when that is fenced.
-    pub under: C,
+    pub authority: C,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,15 +38,15 @@
 }
 
 /// Times that a purse asks while an amount lasts, at most.
-const ASKS: Micros = 8;
+const REQUESTS_PER_LIFETIME: Micros = 8;
 /// Amounts that are held at one time.
-const LEASES: usize = 16;
+const MAX_LEASES: usize = 16;
 /// Calls that are told of ahead; beyond, they are made with what there is.
-const EXPECTED: usize = 256;
+const MAX_EXPECTED: usize = 256;
 
 impl<C: Copy> Purse<C> {
     pub fn new(terms: Terms, incarnation: u64, now: Micros) -> Purse<C> {
-        let floor = Bucket::new(terms.floor_most, now);
+        let floor = Bucket::new(terms.floor_capacity, now);
         let (leases, wanted) = (Vec::new(), (0, 0));
         Purse {
             terms,
@@ -62,7 +62,7 @@
     }
 
     fn roll(&mut self, now: Micros) {
-        let span = self.terms.lasts.max(1);
+        let span = self.terms.grant_lifetime.max(1);
         let passed = now.saturating_sub(self.span_from) / span;
         if passed > 0 {
             self.wanted = (if passed == 1 { self.wanted.1 } else { 0 }, 0);
@@ -74,14 +74,14 @@
 
     /// One call is about to be made then.
     pub fn expect(&mut self, at: Micros) {
-        if self.expected.len() < EXPECTED {
+        if self.expected.len() < MAX_EXPECTED {
             self.expected.push(at);
         }
     }
 
     /// Calls that will be made before long: what is asked for sooner would end before they come.
-    fn soon(&self, now: Micros) -> usize {
-        self.expected.iter().filter(|at| **at <= now + self.terms.lasts / 3).count()
+    fn expected_soon(&self, now: Micros) -> usize {
+        self.expected.iter().filter(|at| **at <= now + self.terms.grant_lifetime / 3).count()
     }
 
     /// Pays for one more, or says that there is nothing left. What was handed out goes first, as it does not last.
@@ -92,52 +92,52 @@
         if let Some(first) = (0..self.expected.len()).min_by_key(|at| self.expected[*at]) {
             self.expected.swap_remove(first);
         }
-        self.leases.retain(|lease| now < lease.until && !fenced(&lease.under));
+        self.leases.retain(|lease| now < lease.until && !fenced(&lease.authority));
         self.floor.fill(now, self.terms.floor_rate);
         // Rests of several together pay for none: each has its own end.
         if let Some(lease) = self.leases.iter_mut().find(|lease| lease.amount >= UNIT) {
             lease.amount -= UNIT;
-            return Some(Spent::Leased(lease.under));
+            return Some(Spent::Leased(lease.authority));
         }
         self.floor.take(UNIT).then_some(Spent::Floor)
     }
 
     /// Whether there is anything to pay with.
-    pub fn holds(&self, now: Micros) -> Amount {
+    pub fn balance(&self, now: Micros) -> Amount {
         self.leases.iter().filter(|lease| now < lease.until).map(|lease| lease.amount).sum()
     }
 
     /// Asks for more where what is held will not last for what was lately wanted. `None`: enough, or just asked.
-    pub fn ask(&mut self, now: Micros) -> Option<Ask> {
+    pub fn request(&mut self, now: Micros) -> Option<GrantRequest> {
         self.roll(now);
-        let lasts = self.terms.lasts;
-        if self.asked.is_some_and(|(_, at)| now < at + lasts / ASKS) {
+        let lasts = self.terms.grant_lifetime;
+        if self.asked.is_some_and(|(_, at)| now < at + lasts / REQUESTS_PER_LIFETIME) {
             return None;
         }
         let wanted = self.wanted.0.max(self.wanted.1);
-        let ending = |lease: &&Lease<C>| lease.until > now + lasts / ASKS;
+        let ending = |lease: &&Lease<C>| lease.until > now + lasts / REQUESTS_PER_LIFETIME;
         let held: Amount = self.leases.iter().filter(ending).map(|lease| lease.amount).sum();
         // In whole calls. What few ask for is not foretold: it would end unused, where others could use it.
         let foretold = if wanted >= 4 * UNIT { wanted } else { 0 };
-        let want = foretold.max(self.soon(now) as Amount * UNIT).saturating_sub(held);
+        let want = foretold.max(self.expected_soon(now) as Amount * UNIT).saturating_sub(held);
         if want < UNIT {
             return None;
         }
         self.number = self.number.wrapping_add(1);
         self.asked = Some((self.number, now));
-        Some(Ask { number: self.number, want })
+        Some(GrantRequest { number: self.number, want })
     }
 
     /// Takes in what was handed out. Only the answer to the latest ask counts, and once; it lasts from when that ask was
     /// sent, however long the answer was on its way.
-    pub fn take(&mut self, now: Micros, grant: Grant, under: C) -> bool {
+    pub fn receive(&mut self, now: Micros, grant: Grant, authority: C) -> bool {
         let own = |(number, _): &(u32, Micros)| (self.incarnation, *number) == (grant.to, grant.number);
         let Some((number, sent)) = self.asked.filter(own) else { return false };
-        let until = sent + self.terms.lasts;
+        let until = sent + self.terms.grant_lifetime;
         self.leases.retain(|lease| now < lease.until && lease.amount >= UNIT);
-        let taken = now < until && self.leases.len() < LEASES;
+        let taken = now < until && self.leases.len() < MAX_LEASES;
         if taken {
-            self.leases.push(Lease { amount: grant.amount, until, under });
+            self.leases.push(Lease { amount: grant.amount, until, authority });
         }
         // Answered: another of the same number is a copy.
         self.asked = Some((number.wrapping_sub(1), sent));
@@ -154,18 +154,18 @@
         Budget { amount: 100 * UNIT, window: 10_000_000, overdraft: 250, floors: 100 }.terms(10, 10).unwrap()
     }
 
-    fn asking(purse: &mut Purse<u8>, now: Micros) -> Ask {
+    fn asking(purse: &mut Purse<u8>, now: Micros) -> GrantRequest {
         (0..20).for_each(|_| purse.expect(now));
-        purse.ask(now).expect("wants more")
+        purse.request(now).expect("wants more")
     }
 
     #[test]
     fn an_amount_lasts_from_the_asking_and_counts_once() {
         let mut purse = Purse::new(terms(), 3, 0);
-        let ask = asking(&mut purse, 1_000);
-        let grant = Grant { to: 3, number: ask.number, amount: 3 * UNIT };
-        assert!(!purse.take(400_000, Grant { to: 2, ..grant }, 1), "of the process before");
-        assert!(purse.take(400_000, grant, 1) && !purse.take(400_001, grant, 1), "a copy adds nothing");
+        let request = asking(&mut purse, 1_000);
+        let grant = Grant { to: 3, number: request.number, amount: 3 * UNIT };
+        assert!(!purse.receive(400_000, Grant { to: 2, ..grant }, 1), "of the process before");
+        assert!(purse.receive(400_000, grant, 1) && !purse.receive(400_001, grant, 1), "a copy adds nothing");
         assert_eq!(purse.spend(400_002, |_| false), Some(Spent::Leased(1)));
         assert_eq!(purse.spend(501_000, |_| false), None, "lasted 0.5 s from 0.001 on");
     }
@@ -173,22 +173,22 @@
     #[test]
     fn an_answer_that_comes_when_its_time_is_over_is_nothing() {
         let mut purse = Purse::new(terms(), 3, 0);
-        let ask = asking(&mut purse, 0);
-        assert!(!purse.take(500_000, Grant { to: 3, number: ask.number, amount: UNIT }, 1));
+        let request = asking(&mut purse, 0);
+        assert!(!purse.receive(500_000, Grant { to: 3, number: request.number, amount: UNIT }, 1));
     }
 
     #[test]
     fn what_was_handed_out_under_a_fence_pays_for_nothing() {
         let mut purse = Purse::new(terms(), 3, 0);
-        let ask = asking(&mut purse, 0);
-        purse.take(1_000, Grant { to: 3, number: ask.number, amount: 2 * UNIT }, 7);
-        assert_eq!(purse.spend(2_000, |under| *under == 7), None);
-        assert_eq!(purse.holds(2_000), 0, "and not later either");
+        let request = asking(&mut purse, 0);
+        purse.receive(1_000, Grant { to: 3, number: request.number, amount: 2 * UNIT }, 7);
+        assert_eq!(purse.spend(2_000, |authority| *authority == 7), None);
+        assert_eq!(purse.balance(2_000), 0, "and not later either");
     }
 
     #[test]
     fn a_floor_needs_nobody_and_starts_empty() {
-        let mut purse = Purse::<u8>::new(Terms { floor_most: 2 * UNIT, ..terms() }, 3, 0);
+        let mut purse = Purse::<u8>::new(Terms { floor_capacity: 2 * UNIT, ..terms() }, 3, 0);
         assert_eq!(purse.spend(0, |_| false), None);
         assert_eq!(purse.spend(10_000_000, |_| false), Some(Spent::Floor));
         assert_eq!(purse.spend(10_000_000, |_| false), None);
--- a/crates/ledger/src/tally.rs
+++ b/crates/ledger/src/tally.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// Homes that are told apart; beyond, the oldest are kept as a sum that is merged no more.
-const KEPT: usize = 256;
+const MAX_ISSUERS: usize = 256;
 
 /// A home in one of its tenures: its claim's term, its region, and its process.
 pub type By = (u64, u8, u64);
@@ -19,13 +19,13 @@
 
 impl Tally {
     /// Takes in how much a home has handed out in all.
-    pub fn hear(&mut self, by: By, issued: Amount) {
+    pub fn record(&mut self, by: By, issued: Amount) {
         if self.folded_up_to.is_some_and(|last| by <= last) {
             return;
         }
         let part = self.parts.entry(by).or_default();
         *part = (*part).max(issued);
-        while self.parts.len() > KEPT {
+        while self.parts.len() > MAX_ISSUERS {
             let Some((by, amount)) = self.parts.pop_first() else { return };
             self.folded += amount;
             self.folded_up_to = Some(by);
@@ -33,7 +33,7 @@
     }
 
     pub fn merge(&mut self, other: &Tally) {
-        other.parts.iter().for_each(|(by, issued)| self.hear(*by, *issued));
+        other.parts.iter().for_each(|(by, issued)| self.record(*by, *issued));
     }
 
     pub fn total(&self) -> Amount {
@@ -53,9 +53,9 @@
     #[test]
     fn two_sides_of_a_split_are_merged_and_nothing_counts_twice() {
         let (mut won, mut lost) = (Tally::default(), Tally::default());
-        won.hear((2, 0, 1), 500);
-        lost.hear((1, 1, 9), 300);
-        lost.hear((1, 1, 9), 200);
+        won.record((2, 0, 1), 500);
+        lost.record((1, 1, 9), 300);
+        lost.record((1, 1, 9), 200);
         for _ in 0..3 {
             won.merge(&lost);
             lost.merge(&won);
@@ -66,8 +66,8 @@
     #[test]
     fn it_stays_bounded_and_what_was_folded_is_not_added_again() {
         let mut tally = Tally::default();
-        (0..1_000).for_each(|term| tally.hear((term, 0, 0), 1));
-        (0..1_000).for_each(|term| tally.hear((term, 0, 0), 1));
-        assert_eq!((tally.total(), tally.parts.len()), (1_000, KEPT));
+        (0..1_000).for_each(|term| tally.record((term, 0, 0), 1));
+        (0..1_000).for_each(|term| tally.record((term, 0, 0), 1));
+        assert_eq!((tally.total(), tally.parts.len()), (1_000, MAX_ISSUERS));
     }
 }
--- a/crates/ledger/tests/bound.rs
+++ b/crates/ledger/tests/bound.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
-use sagearch_ledger::{Ask, Bank, Budget, Grant, Purse, Terms, UNIT};
+use sagearch_ledger::{Bank, Budget, Grant, GrantRequest, Purse, Terms, UNIT};
 use std::collections::BTreeMap;
 
 const SECOND: u64 = 1_000_000;
@@ -12,7 +12,7 @@
 const BUDGET: Budget = Budget { amount: 200 * UNIT, window: 10 * SECOND, overdraft: 250, floors: 20 };
 
 enum Message {
-    Ask { from: usize, incarnation: u64, ask: Ask },
+    Request { from: usize, incarnation: u64, request: GrantRequest },
     Grant { to: usize, grant: Grant },
 }
 
@@ -82,17 +82,17 @@
     fn wants(&mut self, now: u64, gateway: usize) {
         let clock = self.clock(now + 60_000, gateway);
         self.purses[gateway].1.expect(clock);
-        self.asks(now, gateway);
+        self.request(now, gateway);
         self.sent += 1;
         self.coming.insert((now + 60_000, self.sent), gateway);
     }
 
-    fn asks(&mut self, now: u64, gateway: usize) {
+    fn request(&mut self, now: u64, gateway: usize) {
         let clock = self.clock(now, gateway);
         let (incarnation, purse) = &mut self.purses[gateway];
         let incarnation = *incarnation;
-        if let Some(ask) = purse.ask(clock) {
-            self.send(now, gateway, || Message::Ask { from: gateway, incarnation, ask });
+        if let Some(request) = purse.request(clock) {
+            self.send(now, gateway, || Message::Request { from: gateway, incarnation, request });
         }
     }
 
@@ -103,23 +103,23 @@
             if self.purses[gateway].1.spend(clock, |_| false).is_some() {
                 self.spent.push(now);
             }
-            self.asks(now, gateway);
+            self.request(now, gateway);
         }
     }
 
     fn deliver(&mut self, now: u64) {
         while let Some(entry) = self.net.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
-                Message::Ask { from, incarnation, ask } => {
+                Message::Request { from, incarnation, request } => {
                     let clock = now * self.bank_rate / 1_000;
                     let Some(bank) = &mut self.bank else { continue };
-                    if let Some(grant) = bank.ask(clock, (from as u16, incarnation), ask) {
+                    if let Some(grant) = bank.grant(clock, (from as u16, incarnation), request) {
                         self.send(now, from, || Message::Grant { to: from, grant });
                     }
                 }
                 Message::Grant { to, grant } => {
                     let clock = self.clock(now, to);
-                    self.purses[to].1.take(clock, grant, 0);
+                    self.purses[to].1.receive(clock, grant, 0);
                 }
             }
         }
@@ -252,9 +252,11 @@
                 }
             }
             for (member, bank) in [(1, &mut lender), (2, &mut borrower)] {
-                let ask =
-                    Ask { number: step as u32 + 1, want: if random.random_bool(0.3) { 5 * UNIT } else { 0 } };
-                let grant = bank.ask(now, (member, 1), ask).unwrap();
+                let request = GrantRequest {
+                    number: step as u32 + 1,
+                    want: if random.random_bool(0.3) { 5 * UNIT } else { 0 },
+                };
+                let grant = bank.grant(now, (member, 1), request).unwrap();
                 handed.push((now, grant.amount));
             }
         }
@@ -262,9 +264,9 @@
         for from in (0..60).map(|second| second * SECOND) {
             let within = handed.iter().filter(|(at, _)| (from..from + SECOND).contains(at));
             let sum: u64 = within.map(|(_, amount)| amount).sum();
-            assert!(sum <= 2 * (terms.rate + terms.most), "seed {seed}: {sum}");
+            assert!(sum <= 2 * (terms.rate + terms.capacity), "seed {seed}: {sum}");
         }
         let all: u64 = handed.iter().map(|(_, amount)| amount).sum();
-        assert!(all <= 2 * (terms.rate * 60 + terms.most), "seed {seed}: {all}");
+        assert!(all <= 2 * (terms.rate * 60 + terms.capacity), "seed {seed}: {all}");
     }
 }
--- a/src/net/shared/accounts.rs
+++ b/src/net/shared/accounts.rs
@@ -69,7 +69,7 @@
             return None;
         }
         let issued = bank.issued();
-        self.next_loan = now + self.terms.lasts / 2;
+        self.next_loan = now + self.terms.grant_lifetime / 2;
         Some((lacking, issued))
     }
 
@@ -89,12 +89,12 @@
 
     /// Takes in what a borrower, by its claim, has handed out in all.
     pub fn record_borrower(&mut self, claim: &Claim, issued: Amount) {
-        self.tally.hear((claim.term, claim.region.0, claim.incarnation), issued);
+        self.tally.record((claim.term, claim.region.0, claim.incarnation), issued);
     }
 
     /// Takes in what a lender has handed out in all.
     pub fn record_lender(&mut self, region: Region, lender: Sender, issued: Amount) {
-        self.tally.hear((0, region.0, lender.incarnation), issued);
+        self.tally.record((0, region.0, lender.incarnation), issued);
     }
 }
 
--- a/src/net/shared/datagrams.rs
+++ b/src/net/shared/datagrams.rs
@@ -33,8 +33,8 @@
             Body::Alive(bytes) => self.receive_probe(now, &bytes),
             Body::Lease(leases) => self.receive_lease(now, who, &leases),
             Body::Fence(claims) => self.receive_fence(now, &claims),
-            Body::Ask { budget, ask } => {
-                if let Some((authority, grant)) = self.grant(now, who, budget, ask) {
+            Body::GrantRequest { budget, request } => {
+                if let Some((authority, grant)) = self.grant(now, who, budget, request) {
                     self.send(vec![(sender, Body::Grant { budget, authority, grant })]);
                 }
             }
--- a/src/net/shared/grants.rs
+++ b/src/net/shared/grants.rs
@@ -4,7 +4,7 @@
 use super::{LOG_TARGET, Shared, lock, optional_claim_fields};
 use sagearch_homes::message::Sender;
 use sagearch_homes::{Micros, Slice};
-use sagearch_ledger::{Ask, Grant, Terms};
+use sagearch_ledger::{Grant, GrantRequest, Terms};
 
 impl Shared {
     /// The slice and the terms of a budget.
@@ -14,15 +14,15 @@
     }
 
     /// The loop wants more.
-    pub(super) fn request_grant(&self, budget: u8, ask: Ask) {
+    pub(super) fn request_grant(&self, budget: u8, request: GrantRequest) {
         let Some((slice, _)) = self.budget_terms(budget) else { return };
         let now = self.clock.now();
         let own = self.directory.own();
         let to = lock(&self.homes).holder.preferred_home(slice);
         if to != own.member {
-            return self.send(vec![(to, Body::Ask { budget, ask })]);
+            return self.send(vec![(to, Body::GrantRequest { budget, request })]);
         }
-        if let Some((authority, grant)) = self.grant(now, own, budget, ask) {
+        if let Some((authority, grant)) = self.grant(now, own, budget, request) {
             self.receive_grant(budget, grant, authority);
         }
     }
@@ -33,7 +33,7 @@
         now: Micros,
         who: Sender,
         budget: u8,
-        ask: Ask,
+        request: GrantRequest,
     ) -> Option<(GrantAuthority, Grant)> {
         let (slice, _) = self.budget_terms(budget)?;
         let homes = lock(&self.homes);
@@ -47,7 +47,7 @@
         drop(homes);
         let account = ledger.get_mut(usize::from(budget))?;
         let claim = claim.filter(|_| account.federated);
-        let grant = account.bank(epoch, now).ask(now, (who.member.0, who.incarnation), ask)?;
+        let grant = account.bank(epoch, now).grant(now, (who.member.0, who.incarnation), request)?;
         let name = account.name.clone();
         drop(ledger);
         // It may have been stopped since it looked: what leaves now would be of a home that was.
--- a/src/net/shared/loans.rs
+++ b/src/net/shared/loans.rs
@@ -72,7 +72,7 @@
         let account = &mut ledger[usize::from(request.budget)];
         account.record_borrower(&request.claim, request.issued);
         let drift = u64::from(1_000 + self.rules.drift);
-        let lasts = (account.terms.lasts * drift * drift).div_ceil(1_000_000);
+        let lasts = (account.terms.grant_lifetime * drift * drift).div_ceil(1_000_000);
         let bank = account.bank(epoch, now);
         let rate = bank.lend(now, borrower(&request.claim), request.rate, lasts);
         Loan { rate, issued: bank.issued(), ..request }
@@ -92,7 +92,7 @@
         account.record_lender(region, from, loan.issued);
         let requested = account.loan_requested(region, loan.number, loan.claim).filter(|_| stands);
         if let Some(requested) = requested {
-            let until = requested + account.terms.lasts;
+            let until = requested + account.terms.grant_lifetime;
             account.bank(epoch, now).borrow(now, u64::from(region.0), loan.rate, until);
         }
     }
--- a/src/net/shared/spend.rs
+++ b/src/net/shared/spend.rs
@@ -7,21 +7,21 @@
 use arc_swap::ArcSwap;
 use crossbeam_channel::{Receiver, Sender};
 use sagearch_homes::{Floors, Slice};
-use sagearch_ledger::{Ask, Grant, Purse, Spent};
+use sagearch_ledger::{Grant, GrantRequest, Purse, Spent};
 use std::sync::Arc;
 
 /// What the loop tells the pool.
 #[derive(Clone, Copy, Debug)]
 pub struct GrantWanted {
     pub budget: u8,
-    pub ask: Ask,
+    pub request: GrantRequest,
 }
 
 pub struct SharedBudget {
     pub budget: u8,
     pub slice: Slice,
     pub purse: Purse<GrantAuthority>,
-    /// A full one loses the ask: it is asked again, as if the datagram were lost.
+    /// A full one loses the request: it is asked again, as if the datagram were lost.
     pub wanted: Sender<super::workers::Work>,
     pub granted: Receiver<(Grant, GrantAuthority)>,
     pub floors: Arc<ArcSwap<Floors>>,
@@ -30,15 +30,15 @@
 }
 
 impl SharedBudget {
-    /// Takes in what has come before it asks for more: an answer to an ask that is not the latest counts for nothing.
-    fn ask(&mut self, now: Micros) {
+    /// Takes in what has come before it asks for more: an answer to a request that is not the latest counts for nothing.
+    fn request(&mut self, now: Micros) {
         while let Ok((grant, authority)) = self.granted.try_recv() {
-            self.purse.take(now, grant, authority);
+            self.purse.receive(now, grant, authority);
         }
-        if let Some(ask) = self.purse.ask(now) {
+        if let Some(request) = self.purse.request(now) {
             let told = self
                 .wanted
-                .try_send(super::workers::Work::RequestGrant(GrantWanted { budget: self.budget, ask }));
+                .try_send(super::workers::Work::RequestGrant(GrantWanted { budget: self.budget, request }));
             if told.is_err() {
                 self.counted.lost("asks_unheard");
             }
@@ -49,15 +49,15 @@
 impl Allowance for SharedBudget {
     fn expect(&mut self, now: Micros, at: Micros) {
         self.purse.expect(at);
-        self.ask(now);
+        self.request(now);
     }
 
     fn tick(&mut self, now: Micros) {
-        self.ask(now);
+        self.request(now);
     }
 
     fn spend(&mut self, now: Micros) -> Option<Paid> {
-        self.ask(now);
+        self.request(now);
         let floors = self.floors.load();
         let fenced = |authority: &GrantAuthority| {
             authority.claim.is_some_and(|claim| floors.fenced(authority.slice, &claim))
--- a/src/net/shared/start.rs
+++ b/src/net/shared/start.rs
@@ -151,7 +151,7 @@
             floors: budget.floors * 10,
         };
         let terms = stated.terms(sharing, u64::from(self.fleet.drift)).map_err(io::Error::other)?;
-        if terms.floor_rate > 0 && terms.floor_most < UNIT {
+        if terms.floor_rate > 0 && terms.floor_capacity < UNIT {
             log::warn!(
                 target: LOG_TARGET,
                 "budget {:?}: among {sharing} gateways no floor comes to one call",
--- a/src/net/shared/wire.rs
+++ b/src/net/shared/wire.rs
@@ -2,7 +2,7 @@
 
 use sagearch_homes::message::{Claims, LeaseMessage};
 use sagearch_homes::{Claim, Epoch, Incarnation, Slice};
-use sagearch_ledger::{Amount, Ask, Grant};
+use sagearch_ledger::{Amount, Grant, GrantRequest};
 use serde::{Deserialize, Serialize};
 
 /// The longest datagram that gateways may send.
@@ -34,9 +34,9 @@
         forwarded: bool,
         message: RemoteMessage,
     },
-    Ask {
+    GrantRequest {
         budget: u8,
-        ask: Ask,
+        request: GrantRequest,
     },
     Grant {
         budget: u8,
@@ -138,7 +138,7 @@
     /// With numbers as large as they come in some hundred years.
     #[rstest]
     #[case::alive(Body::Alive(vec![7; MAX_PAYLOAD]))]
-    #[case::ask(Body::Lease(LeaseMessage::Request { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES] }))]
+    #[case::request(Body::Lease(LeaseMessage::Request { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES] }))]
     #[case::granted(Body::Lease(LeaseMessage::Granted {
         to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES]
     }))]
@@ -171,7 +171,7 @@
     /// Gateways of two versions of this program speak to each other: the bytes stay as long as `VERSION` does.
     #[rstest]
     #[case::alive(Body::Alive(vec![7, 8]), &[0, 2, 7, 8])]
-    #[case::ask_lease(Body::Lease(LeaseMessage::Request { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
+    #[case::request_lease(Body::Lease(LeaseMessage::Request { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
     #[case::granted(Body::Lease(LeaseMessage::Granted { to: 9, round: 2, epoch: 6, slices: vec![Slice(4)] }), &[1, 1, 9, 2, 6, 1, 4])]
     #[case::denied(Body::Lease(LeaseMessage::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
     #[case::released(Body::Lease(LeaseMessage::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
@@ -179,7 +179,7 @@
     #[case::claims(Body::Remote { from: 9, incarnation: 10, forwarded: false, message: RemoteMessage::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
     #[case::want(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanRequest(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
     #[case::lent(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanGranted(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
-    #[case::ask(Body::Ask { budget: 1, ask: Ask { number: 2, want: 7 } }, &[4, 1, 2, 7])]
+    #[case::request(Body::GrantRequest { budget: 1, request: GrantRequest { number: 2, want: 7 } }, &[4, 1, 2, 7])]
     #[case::grant(Body::Grant {
         budget: 1,
         authority: GrantAuthority { slice: Slice(4), epoch: 6, claim: Some(SMALL) },
--- a/src/net/shared/workers.rs
+++ b/src/net/shared/workers.rs
@@ -90,7 +90,7 @@
     fn work(&self, work: Work, first: bool) {
         match work {
             Work::Datagram(from, bytes) => self.receive_datagram(from, &bytes),
-            Work::RequestGrant(GrantWanted { budget, ask }) => self.request_grant(budget, ask),
+            Work::RequestGrant(GrantWanted { budget, request }) => self.request_grant(budget, request),
             Work::Wake => {}
             Work::Leave => self.leave(),
         }
