--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -345,7 +345,7 @@
                         self.service.prepare_rollback(number).and_then(|made| self.keep_and_commit(made));
                     self.push(session, Item::Message(FromService::Reply { answer }));
                 }
-                Output::Note(text) => tracing::info!("{text}"),
+                Output::Notice(text) => tracing::info!("{text}"),
             }
         }
     }
--- a/crates/stream/src/service.rs
+++ b/crates/stream/src/service.rs
@@ -70,7 +70,7 @@
     /// An operator wants something that is the caller's to do: it checks, keeps and commits.
     Publish(Session, Documents, Plan),
     Rollback(Session, u64),
-    Note(String),
+    Notice(String),
 }
 
 /// A version on its way to one gateway. Its pieces are made as they are wanted: a thousand of them take no more room
@@ -330,7 +330,7 @@
                 self.offer(&mut out);
             }
             (FromGateway::Nack { nonce, id, cause }, Role::Gateway(node)) => {
-                out.push(Output::Note(format!("{node} turns {id} down: {cause}")));
+                out.push(Output::Notice(format!("{node} turns {id} down: {cause}")));
                 if peer.offered.as_ref().is_some_and(|(offered, _)| *offered == nonce) {
                     peer.offered = None;
                 }
@@ -486,11 +486,11 @@
                 return out;
             }
             Verdict::NextStage => {
-                out.push(Output::Note(format!("version {number} goes to {}%", rollout.share())));
+                out.push(Output::Notice(format!("version {number} goes to {}%", rollout.share())));
                 self.state.candidate = Some((number, rollout));
             }
             Verdict::Complete => {
-                out.push(Output::Note(format!("version {number} is everywhere")));
+                out.push(Output::Notice(format!("version {number} is everywhere")));
                 (self.state.stable, self.state.candidate) = (Some(number), None);
             }
             Verdict::TakeBack(cause) => self.take_back(number, cause, &mut out),
@@ -516,7 +516,7 @@
             None => format!("version {number} is halted: {cause}"),
         };
         self.state.halted = Some(told.clone());
-        out.push(Output::Note(told));
+        out.push(Output::Notice(told));
         self.forget();
     }
 
--- a/crates/stream/src/subscriber.rs
+++ b/crates/stream/src/subscriber.rs
@@ -71,12 +71,12 @@
     /// Bring what is staged into force.
     Commit(Arc<Version>),
     /// For the log and the counters.
-    Note(Note),
+    Notice(Notice),
 }
 
 /// What operators want to know.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Note {
+pub enum Notice {
     InForce(Id),
     TurnedDown(Id, String),
     Skipped(Id),
@@ -297,7 +297,7 @@
     }
 
     fn nack(&mut self, nonce: u64, id: Id, cause: String, out: &mut Vec<Output>) {
-        out.push(Output::Note(Note::TurnedDown(id.clone(), cause.clone())));
+        out.push(Output::Notice(Notice::TurnedDown(id.clone(), cause.clone())));
         self.nacked = Some(id.clone());
         out.push(Output::Say(FromGateway::Nack { nonce, id, cause }));
     }
@@ -333,7 +333,7 @@
                 return;
             }
             if id.place() == newest.place() {
-                out.push(Output::Note(Note::Conflict { held: newest.clone(), offered: id.clone() }));
+                out.push(Output::Notice(Notice::Conflict { held: newest.clone(), offered: id.clone() }));
                 let cause = format!("the same number as {newest} with other content");
                 return self.nack(nonce, id, cause, out);
             }
@@ -401,7 +401,7 @@
         let version = Arc::new(Version { id, documents });
         if let Some((nonce, older)) = self.waiting.replace((nonce, version)) {
             // Versions come faster than they are applied: only the newest is worth it.
-            out.push(Output::Note(Note::Skipped(older.id.clone())));
+            out.push(Output::Notice(Notice::Skipped(older.id.clone())));
             out.push(Output::Say(FromGateway::Skip { nonce, id: older.id.clone() }));
         }
     }
@@ -434,7 +434,7 @@
         let Some(applying) = self.applying.as_mut().filter(|it| it.step == Step::Storing) else { return };
         if let Err(cause) = result {
             // A disk that is full must not keep a revocation from being in force.
-            out.push(Output::Note(Note::NotKept(applying.version.id.clone(), cause)));
+            out.push(Output::Notice(Notice::NotKept(applying.version.id.clone(), cause)));
         }
         applying.step = Step::Committing;
         out.push(Output::Commit(applying.version.clone()));
@@ -447,7 +447,7 @@
         };
         let id = version.id.clone();
         self.in_force = Some(version);
-        out.push(Output::Note(Note::InForce(id.clone())));
+        out.push(Output::Notice(Notice::InForce(id.clone())));
         if let Some(nonce) = nonce {
             // Where the connection is gone, the next one begins with what is in force.
             out.push(Output::Say(FromGateway::Ack { nonce, id }));
--- a/crates/stream/tests/simulation.rs
+++ b/crates/stream/tests/simulation.rs
@@ -9,7 +9,7 @@
 use sagearch_stream::message::{FromGateway, FromService};
 use sagearch_stream::rollout::Plan;
 use sagearch_stream::service::{Output as ServiceOutput, Prepared, Role, Service, Settings, State};
-use sagearch_stream::subscriber::{Input, Note, Output, Settings as Gateway, Subscriber};
+use sagearch_stream::subscriber::{Input, Notice, Output, Settings as Gateway, Subscriber};
 use sagearch_stream::version::{Documents, Id, Version};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -108,7 +108,7 @@
                     self.published.push(version.clone());
                     self.kept.insert(version.id.number, (*version).clone());
                 }
-                ServiceOutput::Publish(..) | ServiceOutput::Rollback(..) | ServiceOutput::Note(_) => {}
+                ServiceOutput::Publish(..) | ServiceOutput::Rollback(..) | ServiceOutput::Notice(_) => {}
             }
         }
     }
@@ -176,8 +176,8 @@
                     assert!(self.nodes[at].work.is_none(), "two versions at once");
                     self.nodes[at].work = Some(work);
                 }
-                Output::Note(Note::NotKept(id, _)) => self.nodes[at].told_not_kept = Some(id),
-                Output::Note(_) => {}
+                Output::Notice(Notice::NotKept(id, _)) => self.nodes[at].told_not_kept = Some(id),
+                Output::Notice(_) => {}
             }
         }
     }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -15,7 +15,7 @@
 use sagearch_stream::Version;
 use sagearch_stream::message::{Decoder, FromService, encode};
 use sagearch_stream::store::{self, recover};
-use sagearch_stream::subscriber::{CONNECT_WITHIN, Input, Note, Output, Settings, Subscriber};
+use sagearch_stream::subscriber::{CONNECT_WITHIN, Input, Notice, Output, Settings, Subscriber};
 use std::collections::VecDeque;
 use std::fs;
 use std::io::{self, Read, Write};
@@ -227,26 +227,26 @@
                 crash_point("in-force");
                 Some(Input::Committed)
             }
-            Output::Note(note) => {
+            Output::Notice(notice) => {
                 let metrics = &self.guard.metrics;
-                match note {
-                    Note::InForce(id) => {
+                match notice {
+                    Notice::InForce(id) => {
                         let took = self.began.elapsed();
                         metrics.version("in_force", Some(took));
                         tracing::info!(version = %id, ms = took.as_millis() as u64, "control: in force");
                     }
-                    Note::TurnedDown(id, cause) => {
+                    Notice::TurnedDown(id, cause) => {
                         metrics.version("turned_down", None);
                         tracing::error!(version = %id, cause, "control: turned down");
                     }
-                    Note::Skipped(id) => {
+                    Notice::Skipped(id) => {
                         metrics.version("skipped", None);
                         tracing::info!(version = %id, "control: skipped for a newer one");
                     }
-                    Note::Conflict { held, offered } => {
+                    Notice::Conflict { held, offered } => {
                         tracing::error!(%held, %offered, "control: two services disagree about a version");
                     }
-                    Note::NotKept(id, cause) => {
+                    Notice::NotKept(id, cause) => {
                         tracing::error!(version = %id, cause, "control: in force, and not on the disk");
                     }
                 }
