Laboratory: names of lives, the model and the checker of shared state

lives: Blows is ActiveFaults, Wanted is ProcessState, Step is ProcessAction. model/world: Told is WorldEvent, Word is Status, Note is CacheResult. check/shared: Note is LoggedEvent, Did is Action, note() is read_event(). What a scenario, a log or a verdict says does not change.

--- a/crates/lab/src/act/fleet.rs
+++ b/crates/lab/src/act/fleet.rs
@@ -5,7 +5,7 @@
 use super::links::{Links, accept};
 use super::net::{Net, Port};
 use super::recorder::Recorder;
-use crate::lives::Step;
+use crate::lives::ProcessAction;
 use crate::party::{Kind, PartyId, Roster};
 use crate::trace::{Life, What};
 use nix::sys::signal::{Signal, kill};
@@ -55,7 +55,7 @@
 
 struct Gateway {
     port: Port,
-    steps: mpsc::UnboundedSender<Step>,
+    steps: mpsc::UnboundedSender<ProcessAction>,
     ready: watch::Receiver<bool>,
 }
 
@@ -164,7 +164,7 @@
     async fn tend(
         self: Arc<Self>,
         id: PartyId,
-        mut steps: mpsc::UnboundedReceiver<Step>,
+        mut steps: mpsc::UnboundedReceiver<ProcessAction>,
         ready: watch::Sender<bool>,
     ) -> Option<String> {
         let mut child: Option<Child> = None;
@@ -197,12 +197,12 @@
                 }
                 step = steps.recv() => {
                     let Some(step) = step else { return self.end(id, child).await };
-                    if matches!(step, Step::Kill | Step::Terminate | Step::Stop) {
+                    if matches!(step, ProcessAction::Kill | ProcessAction::Terminate | ProcessAction::Stop) {
                         self.recorder.see(What::Process { whom: id, life: Life::Struck });
                     }
                     match (step, &mut child) {
-                        (Step::Start, None) => runs = true,
-                        (Step::Start, Some(before)) => {
+                        (ProcessAction::Start, None) => runs = true,
+                        (ProcessAction::Start, Some(before)) => {
                             // One that was told to end may still be finishing what it had taken.
                             if tokio::time::timeout(ENDS_WITHIN, before.wait()).await.is_err() {
                                 self.recorder.see(What::Process { whom: id, life: Life::Died });
@@ -210,18 +210,18 @@
                             }
                             (child, runs) = (None, true);
                         }
-                        (_, None) => runs = runs && !matches!(step, Step::Kill | Step::Terminate),
-                        (Step::Kill, Some(child)) => {
+                        (_, None) => runs = runs && !matches!(step, ProcessAction::Kill | ProcessAction::Terminate),
+                        (ProcessAction::Kill, Some(child)) => {
                             runs = false;
                             self.signal(child, Signal::SIGKILL);
                         }
-                        (Step::Terminate, Some(child)) => {
+                        (ProcessAction::Terminate, Some(child)) => {
                             runs = false;
                             self.signal(child, Signal::SIGTERM);
                         }
-                        (Step::Stop, Some(child)) => self.signal(child, Signal::SIGSTOP),
-                        (Step::Continue, Some(child)) => self.signal(child, Signal::SIGCONT),
-                        (Step::Hangup, Some(child)) => self.signal(child, Signal::SIGHUP),
+                        (ProcessAction::Stop, Some(child)) => self.signal(child, Signal::SIGSTOP),
+                        (ProcessAction::Continue, Some(child)) => self.signal(child, Signal::SIGCONT),
+                        (ProcessAction::Hangup, Some(child)) => self.signal(child, Signal::SIGHUP),
                     }
                 }
             }
@@ -338,7 +338,7 @@
         Some((self.shared.net.ip(clients), port).into())
     }
 
-    pub fn step(&self, whom: PartyId, steps: Vec<Step>) {
+    pub fn step(&self, whom: PartyId, steps: Vec<ProcessAction>) {
         if let Some(gateway) = self.gateways.get(&whom) {
             for step in steps {
                 let _ = gateway.steps.send(step);
--- a/crates/lab/src/act/run.rs
+++ b/crates/lab/src/act/run.rs
@@ -12,7 +12,7 @@
 use crate::check::faults::Faults;
 use crate::check::shared::{self, AtOrigin};
 use crate::check::{Checker, Given, Rule, rules};
-use crate::lives::Blows;
+use crate::lives::ActiveFaults;
 use crate::model::world::Spec;
 use crate::outcome::figures;
 use crate::party::{Kind, PartyId};
@@ -104,7 +104,7 @@
     stores: Arc<Stores>,
     bus: Arc<Bus>,
     fleet: Fleet,
-    blows: HashMap<PartyId, Blows>,
+    process_faults: HashMap<PartyId, ActiveFaults>,
     /// Faults that keep a store down or draining, by store.
     down: HashMap<PartyId, Vec<usize>>,
     draining: HashMap<PartyId, Vec<usize>>,
@@ -117,8 +117,8 @@
             (Deed::Link(on), true) => self.links.begin_fault(turn.number, on.clone()),
             (Deed::Link(_), false) => self.links.end_fault(turn.number),
             (Deed::Process { whom, blow }, begins) => {
-                let blows = self.blows.entry(*whom).or_default();
-                let steps = if begins { blows.begin(turn.number, *blow) } else { blows.end(turn.number) };
+                let faults = self.process_faults.entry(*whom).or_default();
+                let steps = if begins { faults.begin(turn.number, *blow) } else { faults.end(turn.number) };
                 self.fleet.step(*whom, steps);
             }
             (Deed::Crash { whom }, true) => {
@@ -190,16 +190,16 @@
 }
 
 /// What gateways said of what they share.
-fn notes(scenario: &Scenario, logs: &[(PartyId, PathBuf)]) -> Vec<shared::Note> {
-    let mut notes = Vec::new();
+fn logged_events(scenario: &Scenario, logs: &[(PartyId, PathBuf)]) -> Vec<shared::LoggedEvent> {
+    let mut events = Vec::new();
     for (id, path) in logs {
         let site = &scenario.roster.get(*id).site;
         // Bytes that are no text stand in no line of this.
         let text = std::fs::read(path).unwrap_or_default();
         let text = String::from_utf8_lossy(&text);
-        notes.extend(text.lines().filter_map(|line| shared::note(line, *id, site)));
+        events.extend(text.lines().filter_map(|line| shared::read_event(line, *id, site)));
     }
-    notes
+    events
 }
 
 /// When the last cut between gateways of two sites is over, from the load's begin.
@@ -302,7 +302,7 @@
         stores,
         bus,
         fleet,
-        blows: HashMap::new(),
+        process_faults: HashMap::new(),
         down: HashMap::new(),
         draining: HashMap::new(),
     };
@@ -349,9 +349,9 @@
     let (mut findings, mut counts) = checker.end(links.now());
     let zero_us = micros(zero - begin);
     let judged = scenario.shared.as_ref().map(|told| {
-        let mut notes = notes(scenario, &logs);
+        let mut events = logged_events(scenario, &logs);
         shared::judge(
-            &mut notes,
+            &mut events,
             told,
             epoch,
             healed(scenario, &schedule).map(|at| epoch + zero_us + micros(at)),
--- a/crates/lab/src/act/stores.rs
+++ b/crates/lab/src/act/stores.rs
@@ -5,7 +5,7 @@
 use super::recorder::Recorder;
 use crate::arrivals::Class;
 use crate::body;
-use crate::model::world::{Answer, Pull, Spec, TaskId, Told, Word, World, group_of};
+use crate::model::world::{Answer, Pull, Spec, Status, TaskId, World, WorldEvent, group_of};
 use crate::party::PartyId;
 use crate::settings::KEEPALIVE;
 use crate::trace::{self, Micros, What};
@@ -272,12 +272,12 @@
                 let mut fell = Vec::new();
                 for one in told {
                     match one {
-                        Told::Answer(id, answer) => {
+                        WorldEvent::Answer(id, answer) => {
                             if let Some(asked) = open.remove(&id) {
                                 self.answer(id, &asked, &answer);
                             }
                         }
-                        Told::Fell(store) => fell.push(store),
+                        WorldEvent::Fell(store) => fell.push(store),
                     }
                 }
                 (fell, next)
@@ -297,11 +297,11 @@
 
     fn answer(&self, attempt: TaskId, asked: &Open, answer: &Answer) {
         let mut fields: Vec<(&str, String)> = Vec::new();
-        fields.extend(wire::note_word(answer.note).map(|word| ("res", word.to_string())));
+        fields.extend(wire::result_word(answer.result).map(|word| ("res", word.to_string())));
         fields.push(("ttfb", (answer.waited / 1_000).to_string()));
         let key = (asked.pull.object.clone(), asked.pull.part.clone());
-        let (word, seen, body) = match &answer.word {
-            Word::Ok(copy) => {
+        let (word, seen, body) = match &answer.status {
+            Status::Ok(copy) => {
                 let tag = body::etag(&key, copy.version);
                 fields.push(("etag", tag.clone()));
                 fields.push(("made", ((self.epoch + copy.made) / 1_000).to_string()));
@@ -311,10 +311,10 @@
                     ("ok", trace::Word::Ok, body::make(&key, copy, asked.bytes as usize))
                 }
             }
-            Word::Nothing => ("nothing", trace::Word::Nothing, Vec::new()),
-            Word::Refused => ("refused", trace::Word::Refused, Vec::new()),
-            Word::Error => ("error", trace::Word::Error, Vec::new()),
-            Word::Stale => ("stale", trace::Word::Stale, Vec::new()),
+            Status::Nothing => ("nothing", trace::Word::Nothing, Vec::new()),
+            Status::Refused => ("refused", trace::Word::Refused, Vec::new()),
+            Status::Error => ("error", trace::Word::Error, Vec::new()),
+            Status::Stale => ("stale", trace::Word::Stale, Vec::new()),
         };
         self.recorder.see(What::Ended { attempt, word: seen });
         let _ = asked.answers.send(wire::answer(asked.id, word, &fields, &body));
--- a/crates/lab/src/check/shared.rs
+++ b/crates/lab/src/check/shared.rs
@@ -12,7 +12,7 @@
 pub type Claim = (u64, u64, u64, u64);
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum Did {
+pub enum Action {
     /// Home of the slice from now on.
     Gained {
         epoch: u64,
@@ -49,13 +49,13 @@
 
 /// What one gateway said.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Note {
+pub struct LoggedEvent {
     /// Unix microseconds.
     pub at: u64,
     pub gateway: PartyId,
     pub site: String,
     pub slice: u64,
-    pub did: Did,
+    pub action: Action,
 }
 
 /// The values behind a name in a line, in their order.
@@ -73,7 +73,7 @@
 }
 
 /// Reads a line of a gateway's log, if it says something of this.
-pub fn note(line: &str, gateway: PartyId, site: &str) -> Option<Note> {
+pub fn read_event(line: &str, gateway: PartyId, site: &str) -> Option<LoggedEvent> {
     let (_, said) = line.split_once("sagearch::net::shared")?;
     let words = ["gained", "lost", "acts", "spends", "claimed", "left", "fenced", "split"];
     let (word, rest) = words.iter().find_map(|word| {
@@ -83,17 +83,17 @@
     let one = |name| values(rest, name).next();
     let claims = claims(rest);
     let claim = claims.first().copied();
-    let did = match word {
-        "gained" => Did::Gained { epoch: one("epoch")? },
-        "lost" => Did::Lost { epoch: one("epoch")? },
-        "acts" => Did::Acts { epoch: one("epoch")?, claim, amount: one("amount")? },
-        "spends" => Did::Spends { claim },
-        "claimed" => Did::Claimed { claim: claim? },
-        "left" => Did::Left { claim: claim? },
-        "fenced" => Did::Fenced { lost: claim?, won: *claims.get(1)? },
-        _ => Did::Split { lost: claim?, won: *claims.get(1)? },
+    let action = match word {
+        "gained" => Action::Gained { epoch: one("epoch")? },
+        "lost" => Action::Lost { epoch: one("epoch")? },
+        "acts" => Action::Acts { epoch: one("epoch")?, claim, amount: one("amount")? },
+        "spends" => Action::Spends { claim },
+        "claimed" => Action::Claimed { claim: claim? },
+        "left" => Action::Left { claim: claim? },
+        "fenced" => Action::Fenced { lost: claim?, won: *claims.get(1)? },
+        _ => Action::Split { lost: claim?, won: *claims.get(1)? },
     };
-    Some(Note { at: one("at")?, gateway, site: site.into(), slice: one("slice")?, did })
+    Some(LoggedEvent { at: one("at")?, gateway, site: site.into(), slice: one("slice")?, action })
 }
 
 /// What a run showed of it.
@@ -129,18 +129,18 @@
 }
 
 /// Never two homes of a slice in a region: who comes later begins after all that the one before did, under a later epoch.
-pub fn one_home(notes: &[Note], unix: u64, found: &mut Vec<Finding>) {
+pub fn one_home(events: &[LoggedEvent], unix: u64, found: &mut Vec<Finding>) {
     let mut tenures: BTreeMap<(&str, u64), Tenures> = BTreeMap::new();
-    for note in notes {
-        let epoch = match note.did {
-            Did::Gained { epoch } | Did::Acts { epoch, .. } => epoch,
+    for event in events {
+        let epoch = match event.action {
+            Action::Gained { epoch } | Action::Acts { epoch, .. } => epoch,
             _ => continue,
         };
-        let of = tenures.entry((&note.site, note.slice)).or_default();
-        let fresh = Tenure { gateway: note.gateway, epoch, first: note.at, last: note.at };
-        let tenure = of.entry((epoch, note.gateway)).or_insert(fresh);
-        tenure.first = tenure.first.min(note.at);
-        tenure.last = tenure.last.max(note.at);
+        let of = tenures.entry((&event.site, event.slice)).or_default();
+        let fresh = Tenure { gateway: event.gateway, epoch, first: event.at, last: event.at };
+        let tenure = of.entry((epoch, event.gateway)).or_insert(fresh);
+        tenure.first = tenure.first.min(event.at);
+        tenure.last = tenure.last.max(event.at);
     }
     for ((site, slice), of) in tenures {
         let mut of: Vec<Tenure> = of.into_values().collect();
@@ -162,35 +162,35 @@
 
 /// Who knows that a claim has lost does nothing under it; and the gateways of its region nothing once the stated time is
 /// over: what was handed out has ended by then, if they have heard nothing.
-pub fn fenced(notes: &[Note], shared: &Shared, unix: u64, found: &mut Vec<Finding>) -> usize {
+pub fn fenced(events: &[LoggedEvent], shared: &Shared, unix: u64, found: &mut Vec<Finding>) -> usize {
     let drift = 1_000 + shared.drift;
     let longest = |budget: &crate::scenario::SharedBudget| {
         budget.window.as_micros() as u64 * budget.overdraft / 500 * drift * drift / 1_000_000
     };
     let lasts = shared.budgets.iter().map(longest).max().unwrap_or(0);
     let mut lost: HashMap<(u64, Claim), Vec<(PartyId, u64)>> = HashMap::new();
-    for note in notes {
-        if let Did::Fenced { lost: claim, .. } = note.did {
-            lost.entry((note.slice, claim)).or_default().push((note.gateway, note.at));
+    for event in events {
+        if let Action::Fenced { lost: claim, .. } = event.action {
+            lost.entry((event.slice, claim)).or_default().push((event.gateway, event.at));
         }
     }
     let mut looked_at = 0;
-    for note in notes {
-        let (claim, margin, what) = match note.did {
-            Did::Acts { claim: Some(claim), .. } => (claim, 0, "handed out"),
-            Did::Spends { claim: Some(claim) } => (claim, lasts, "spent"),
+    for event in events {
+        let (claim, margin, what) = match event.action {
+            Action::Acts { claim: Some(claim), .. } => (claim, 0, "handed out"),
+            Action::Spends { claim: Some(claim) } => (claim, lasts, "spent"),
             _ => continue,
         };
-        let Some(fences) = lost.get(&(note.slice, claim)) else { continue };
+        let Some(fences) = lost.get(&(event.slice, claim)) else { continue };
         looked_at += 1;
-        let own = fences.iter().filter(|(gateway, _)| *gateway == note.gateway).map(|(_, at)| *at).min();
+        let own = fences.iter().filter(|(gateway, _)| *gateway == event.gateway).map(|(_, at)| *at).min();
         let any = fences.iter().map(|(_, at)| *at + margin).min();
-        if own.is_some_and(|at| note.at > at) || any.is_some_and(|at| note.at > at) {
+        if own.is_some_and(|at| event.at > at) || any.is_some_and(|at| event.at > at) {
             let text = format!(
                 "{:?} {what} of slice {} under term {} after its fence",
-                note.gateway, note.slice, claim.0
+                event.gateway, event.slice, claim.0
             );
-            found.push(fault("fenced", note.at, unix, text));
+            found.push(fault("fenced", event.at, unix, text));
         }
     }
     looked_at
@@ -218,13 +218,13 @@
 }
 
 /// What all gateways say that they spent, together.
-pub fn budgets(notes: &[Note], shared: &Shared, found: &mut Vec<Finding>) -> BTreeMap<String, f64> {
+pub fn budgets(events: &[LoggedEvent], shared: &Shared, found: &mut Vec<Finding>) -> BTreeMap<String, f64> {
     let mut shown = BTreeMap::new();
     for budget in &shared.budgets {
         let mut by: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-        for note in notes.iter().filter(|note| matches!(note.did, Did::Spends { .. })) {
-            let of = if budget.federated { "all" } else { note.site.as_str() };
-            by.entry(of).or_default().push(note.at);
+        for event in events.iter().filter(|event| matches!(event.action, Action::Spends { .. })) {
+            let of = if budget.federated { "all" } else { event.site.as_str() };
+            by.entry(of).or_default().push(event.at);
         }
         for (of, times) in by {
             let worst = worst(times, budget.window.as_micros() as u64, budget.amount);
@@ -237,31 +237,36 @@
 }
 
 /// All of a run. `healed`: when the last cut between sites was over, in Unix microseconds.
-pub fn judge(notes: &mut [Note], shared: &Shared, unix: u64, healed: Option<u64>) -> (Shown, Vec<Finding>) {
-    notes.sort_by_key(|note| note.at);
+pub fn judge(
+    events: &mut [LoggedEvent],
+    shared: &Shared,
+    unix: u64,
+    healed: Option<u64>,
+) -> (Shown, Vec<Finding>) {
+    events.sort_by_key(|event| event.at);
     let mut found = Vec::new();
-    one_home(notes, unix, &mut found);
-    let after_fence = fenced(notes, shared, unix, &mut found);
-    let worst_spent = budgets(notes, shared, &mut found);
-    let count = |of: fn(&Did) -> bool| notes.iter().filter(|note| of(&note.did)).count();
+    one_home(events, unix, &mut found);
+    let after_fence = fenced(events, shared, unix, &mut found);
+    let worst_spent = budgets(events, shared, &mut found);
+    let count = |of: fn(&Action) -> bool| events.iter().filter(|event| of(&event.action)).count();
     let since = |at: u64| healed.map(|healed| (at as i64 - healed as i64) / 1_000);
-    let after = |of: fn(&Did) -> bool| {
-        notes
+    let after = |of: fn(&Action) -> bool| {
+        events
             .iter()
-            .filter(move |note| of(&note.did))
-            .map(|note| note.at)
+            .filter(move |event| of(&event.action))
+            .map(|event| event.at)
             .filter(move |at| healed.is_some_and(|it| *at >= it))
     };
-    let knew = |did: &Did| matches!(did, Did::Split { .. } | Did::Fenced { .. });
+    let knew = |action: &Action| matches!(action, Action::Split { .. } | Action::Fenced { .. });
     let shown = Shown {
-        homes_gained: count(|did| matches!(did, Did::Gained { .. })),
-        grants: count(|did| matches!(did, Did::Acts { .. })),
-        spends: count(|did| matches!(did, Did::Spends { .. })),
-        claims: count(|did| matches!(did, Did::Claimed { .. })),
-        splits: count(|did| matches!(did, Did::Split { .. })),
-        fenced: count(|did| matches!(did, Did::Fenced { .. })),
+        homes_gained: count(|action| matches!(action, Action::Gained { .. })),
+        grants: count(|action| matches!(action, Action::Acts { .. })),
+        spends: count(|action| matches!(action, Action::Spends { .. })),
+        claims: count(|action| matches!(action, Action::Claimed { .. })),
+        splits: count(|action| matches!(action, Action::Split { .. })),
+        fenced: count(|action| matches!(action, Action::Fenced { .. })),
         detected_ms: after(knew).min().and_then(since),
-        fenced_ms: after(|did| matches!(did, Did::Fenced { .. })).max().and_then(since),
+        fenced_ms: after(|action| matches!(action, Action::Fenced { .. })).max().and_then(since),
         worst_spent,
         after_fence,
     };
@@ -332,13 +337,13 @@
         scenario().shared.unwrap()
     }
 
-    fn said(at: u64, gateway: u16, site: &str, text: &str) -> Note {
+    fn said(at: u64, gateway: u16, site: &str, text: &str) -> LoggedEvent {
         let line = format!("2026-12-02T00:00:00Z DEBUG sagearch::net::shared: {text} at={at}");
-        note(&line, PartyId(gateway), site).expect(text)
+        read_event(&line, PartyId(gateway), site).expect(text)
     }
 
-    fn rules(notes: &mut [Note]) -> Vec<&'static str> {
-        judge(notes, &shared(), 0, None).1.into_iter().map(|finding| finding.rule).collect()
+    fn rules(events: &mut [LoggedEvent]) -> Vec<&'static str> {
+        judge(events, &shared(), 0, None).1.into_iter().map(|finding| finding.rule).collect()
     }
 
     #[test]
--- a/crates/lab/src/lives.rs
+++ b/crates/lab/src/lives.rs
@@ -3,8 +3,8 @@
 use crate::scenario::Blow;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wanted {
-    Up,
+pub enum ProcessState {
+    Running,
     /// By SIGSTOP.
     Stopped,
     Down,
@@ -12,7 +12,7 @@
 
 /// What is done to a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Step {
+pub enum ProcessAction {
     Kill,
     Terminate,
     Stop,
@@ -24,47 +24,47 @@
 
 /// The blows in force on one process.
 #[derive(Clone, Debug, Default)]
-pub struct Blows {
+pub struct ActiveFaults {
     active: Vec<(usize, Blow)>,
 }
 
-impl Blows {
+impl ActiveFaults {
     /// One that is down stays down until the last blow that took it down has ended; stopped is the next worst.
-    pub fn wanted(&self) -> Wanted {
-        let any = |wanted: &[Blow]| self.active.iter().any(|(_, blow)| wanted.contains(blow));
+    pub fn state(&self) -> ProcessState {
+        let any = |blows: &[Blow]| self.active.iter().any(|(_, blow)| blows.contains(blow));
         if any(&[Blow::Kill, Blow::Term]) {
-            Wanted::Down
+            ProcessState::Down
         } else if any(&[Blow::Stop]) {
-            Wanted::Stopped
+            ProcessState::Stopped
         } else {
-            Wanted::Up
+            ProcessState::Running
         }
     }
 
-    pub fn begin(&mut self, number: usize, blow: Blow) -> Vec<Step> {
-        let before = self.wanted();
+    pub fn begin(&mut self, number: usize, blow: Blow) -> Vec<ProcessAction> {
+        let before = self.state();
         if blow == Blow::Hup {
-            return if before == Wanted::Down { Vec::new() } else { vec![Step::Hangup] };
+            return if before == ProcessState::Down { Vec::new() } else { vec![ProcessAction::Hangup] };
         }
         self.active.push((number, blow));
         match (before, blow) {
-            (Wanted::Down, _) => Vec::new(),
-            (_, Blow::Kill) => vec![Step::Kill],
+            (ProcessState::Down, _) => Vec::new(),
+            (_, Blow::Kill) => vec![ProcessAction::Kill],
             // One that is stopped gets to know of it when it goes on.
-            (Wanted::Stopped, Blow::Term) => vec![Step::Terminate, Step::Continue],
-            (_, Blow::Term) => vec![Step::Terminate],
-            (Wanted::Up, Blow::Stop) => vec![Step::Stop],
+            (ProcessState::Stopped, Blow::Term) => vec![ProcessAction::Terminate, ProcessAction::Continue],
+            (_, Blow::Term) => vec![ProcessAction::Terminate],
+            (ProcessState::Running, Blow::Stop) => vec![ProcessAction::Stop],
             _ => Vec::new(),
         }
     }
 
-    pub fn end(&mut self, number: usize) -> Vec<Step> {
-        let before = self.wanted();
+    pub fn end(&mut self, number: usize) -> Vec<ProcessAction> {
+        let before = self.state();
         self.active.retain(|(held, _)| *held != number);
-        match (before, self.wanted()) {
-            (Wanted::Down, Wanted::Up) => vec![Step::Start],
-            (Wanted::Down, Wanted::Stopped) => vec![Step::Start, Step::Stop],
-            (Wanted::Stopped, Wanted::Up) => vec![Step::Continue],
+        match (before, self.state()) {
+            (ProcessState::Down, ProcessState::Running) => vec![ProcessAction::Start],
+            (ProcessState::Down, ProcessState::Stopped) => vec![ProcessAction::Start, ProcessAction::Stop],
+            (ProcessState::Stopped, ProcessState::Running) => vec![ProcessAction::Continue],
             _ => Vec::new(),
         }
     }
@@ -83,28 +83,28 @@
     use Turn::{Begin, End};
 
     #[rstest]
-    #[case::killed(&[Begin(1, Blow::Kill), End(1)], &[Step::Kill, Step::Start])]
-    #[case::killed_twice(&[Begin(1, Blow::Kill), Begin(2, Blow::Kill), End(1), End(2)], &[Step::Kill, Step::Start])]
+    #[case::killed(&[Begin(1, Blow::Kill), End(1)], &[ProcessAction::Kill, ProcessAction::Start])]
+    #[case::killed_twice(&[Begin(1, Blow::Kill), Begin(2, Blow::Kill), End(1), End(2)], &[ProcessAction::Kill, ProcessAction::Start])]
     #[case::killed_while_stopped(&[Begin(1, Blow::Stop), Begin(2, Blow::Kill), End(2), End(1)],
-        &[Step::Stop, Step::Kill, Step::Start, Step::Stop, Step::Continue])]
+        &[ProcessAction::Stop, ProcessAction::Kill, ProcessAction::Start, ProcessAction::Stop, ProcessAction::Continue])]
     #[case::stopped_while_down(&[Begin(1, Blow::Kill), Begin(2, Blow::Stop), End(2), End(1)],
-        &[Step::Kill, Step::Start])]
+        &[ProcessAction::Kill, ProcessAction::Start])]
     #[case::stops_whose_ends_cross(&[Begin(1, Blow::Stop), Begin(2, Blow::Stop), End(1), End(2)],
-        &[Step::Stop, Step::Continue])]
+        &[ProcessAction::Stop, ProcessAction::Continue])]
     #[case::terminated_while_stopped(&[Begin(1, Blow::Stop), Begin(2, Blow::Term), End(1), End(2)],
-        &[Step::Stop, Step::Terminate, Step::Continue, Step::Start])]
+        &[ProcessAction::Stop, ProcessAction::Terminate, ProcessAction::Continue, ProcessAction::Start])]
     #[case::hung_up(&[Begin(1, Blow::Hup), Begin(2, Blow::Kill), Begin(3, Blow::Hup), End(2)],
-        &[Step::Hangup, Step::Kill, Step::Start])]
-    fn blows_overlap(#[case] turns: &[Turn], #[case] steps: &[Step]) {
-        let mut blows = Blows::default();
-        let taken: Vec<Step> = turns
+        &[ProcessAction::Hangup, ProcessAction::Kill, ProcessAction::Start])]
+    fn blows_overlap(#[case] turns: &[Turn], #[case] actions: &[ProcessAction]) {
+        let mut faults = ActiveFaults::default();
+        let taken: Vec<ProcessAction> = turns
             .iter()
             .flat_map(|turn| match turn {
-                Begin(number, blow) => blows.begin(*number, *blow),
-                End(number) => blows.end(*number),
+                Begin(number, blow) => faults.begin(*number, *blow),
+                End(number) => faults.end(*number),
             })
             .collect();
-        assert_eq!(taken, steps);
-        assert_eq!(blows.wanted(), Wanted::Up);
+        assert_eq!(taken, actions);
+        assert_eq!(faults.state(), ProcessState::Running);
     }
 }
--- a/crates/lab/src/model/world/fills.rs
+++ b/crates/lab/src/model/world/fills.rs
@@ -2,7 +2,7 @@
 
 use super::node::Fill;
 use super::schedule::Due;
-use super::types::{Answer, Note, Pull, TaskId, Word};
+use super::types::{Answer, CacheResult, Pull, Status, TaskId};
 use super::{Owner, Task, World};
 use crate::model::Micros;
 use crate::party::{Kind, PartyId};
@@ -38,30 +38,34 @@
         self.later(now + way, Due::Enter(child));
     }
 
-    /// A source's word has come back. `None`: it has died.
+    /// A source's answer has come back. `None`: it has died.
     pub(super) fn back(&mut self, now: Micros, store: PartyId, life: u64, fill: u64, answer: Option<Answer>) {
         let Some(node) = self.nodes.get_mut(&store).filter(|node| node.life == life) else { return };
         let Some(fill) = node.fills.remove(&fill) else { return };
-        if let (Some(Answer { word: Word::Ok(copy), .. }), Some(rank)) = (&answer, fill.keep) {
+        if let (Some(Answer { status: Status::Ok(copy), .. }), Some(rank)) = (&answer, fill.keep) {
             node.copies.keep(fill.key.clone(), copy.clone(), rank);
         }
         let waited = now.saturating_sub(fill.began);
         for (at, id) in fill.waiting.iter().enumerate() {
-            let denied = |word, note| Answer { word, note, waited };
-            match answer.as_ref().map(|answer| &answer.word) {
-                Some(Word::Ok(copy)) => {
-                    let note = match (at, fill.from_origin) {
-                        (0, true) => Note::MissRoot,
-                        (0, false) => Note::Miss,
-                        _ => Note::Join,
+            let denied = |status, result| Answer { status, result, waited };
+            match answer.as_ref().map(|answer| &answer.status) {
+                Some(Status::Ok(copy)) => {
+                    let result = match (at, fill.from_origin) {
+                        (0, true) => CacheResult::MissRoot,
+                        (0, false) => CacheResult::Miss,
+                        _ => CacheResult::Join,
                     };
-                    self.send(now, *id, Answer { word: Word::Ok(copy.clone()), note, waited });
+                    self.send(now, *id, Answer { status: Status::Ok(copy.clone()), result, waited });
                 }
-                Some(Word::Nothing) => self.end(now, *id, Some(denied(Word::Nothing, Note::SourceLacks))),
-                Some(Word::Refused | Word::Stale) => {
-                    self.end(now, *id, Some(denied(Word::Refused, Note::SourceDenied)));
+                Some(Status::Nothing) => {
+                    self.end(now, *id, Some(denied(Status::Nothing, CacheResult::SourceLacks)))
+                }
+                Some(Status::Refused | Status::Stale) => {
+                    self.end(now, *id, Some(denied(Status::Refused, CacheResult::SourceDenied)));
+                }
+                Some(Status::Error) | None => {
+                    self.end(now, *id, Some(denied(Status::Error, CacheResult::SourceDead)))
                 }
-                Some(Word::Error) | None => self.end(now, *id, Some(denied(Word::Error, Note::SourceDead))),
             }
         }
     }
--- a/crates/lab/src/model/world/mod.rs
+++ b/crates/lab/src/model/world/mod.rs
@@ -1,6 +1,6 @@
 //! Caches, parents and the origin, and what becomes of each request at them.
 //!
-//! `types` has what is asked and told, `node` a store, `schedule` what is due; `serving` takes a request through one store,
+//! `types` has what is asked and answered, `node` a store, `schedule` what is due; `serving` takes a request through one store,
 //! `fills` fetches what it lacks from another.
 
 mod fills;
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use types::{Answer, Note, Pull, Spec, TaskId, Told, Word, group_of};
+pub use types::{Answer, CacheResult, Pull, Spec, Status, TaskId, WorldEvent, group_of};
 
 use super::Micros;
 use super::cold::Heat;
@@ -50,7 +50,7 @@
     /// How long stores take to hear of a purge, at most.
     purge_takes: Micros,
     random: Pcg64Mcg,
-    told: Vec<Told>,
+    events: Vec<WorldEvent>,
 }
 
 impl World {
@@ -63,7 +63,7 @@
             versions: [0; 256],
             purge_takes,
             random: Pcg64Mcg::seed_from_u64(seed),
-            told: Vec::new(),
+            events: Vec::new(),
         }
     }
 
@@ -83,11 +83,11 @@
     }
 
     /// Does all that is due by now, and hands on what there is to tell.
-    pub fn advance(&mut self, now: Micros) -> Vec<Told> {
+    pub fn advance(&mut self, now: Micros) -> Vec<WorldEvent> {
         while let Some((at, due)) = self.schedule.pop(now) {
             self.happens(at, due);
         }
-        std::mem::take(&mut self.told)
+        std::mem::take(&mut self.events)
     }
 
     pub fn is_alive(&self, store: PartyId) -> bool {
--- a/crates/lab/src/model/world/schedule.rs
+++ b/crates/lab/src/model/world/schedule.rs
@@ -18,7 +18,7 @@
         store: PartyId,
         life: u64,
     },
-    /// A source's word comes back.
+    /// A source's answer comes back.
     Back {
         store: PartyId,
         life: u64,
--- a/crates/lab/src/model/world/serving.rs
+++ b/crates/lab/src/model/world/serving.rs
@@ -1,7 +1,7 @@
 //! A request's way through one store: in, worked on, answered over the link, out.
 
 use super::schedule::Due;
-use super::types::{Answer, Note, TaskId, Told, Word};
+use super::types::{Answer, CacheResult, Status, TaskId, WorldEvent};
 use super::{Owner, World};
 use crate::model::Micros;
 use crate::model::copies::Copy;
@@ -18,11 +18,11 @@
             return self.end(now, id, None);
         }
         if !node.admits(now) {
-            return self.refuse(now, id, Note::None);
+            return self.refuse(now, id, CacheResult::None);
         }
         if node.falls(now) {
             self.crash(now, store);
-            self.told.push(Told::Fell(store));
+            self.events.push(WorldEvent::Fell(store));
             return;
         }
         let slots = node.slots(now);
@@ -32,7 +32,7 @@
         match entry {
             Entry::Begins => self.begin(now, store, id),
             Entry::Waits => {}
-            Entry::Refused => self.refuse(now, id, Note::None),
+            Entry::Refused => self.refuse(now, id, CacheResult::None),
         }
     }
 
@@ -52,7 +52,11 @@
         }
         if let Some(task) = self.tasks.get(&id) {
             if now > task.deadline {
-                return self.end(now, id, Some(Answer { word: Word::Stale, note: Note::None, waited: 0 }));
+                return self.end(
+                    now,
+                    id,
+                    Some(Answer { status: Status::Stale, result: CacheResult::None, waited: 0 }),
+                );
             }
             self.look(now, id);
         }
@@ -65,14 +69,26 @@
         let Some(node) = self.nodes.get_mut(&store) else { return };
         if node.spec.kind == Kind::Origin {
             let copy = Copy { made: now, version: self.versions[usize::from(pull.group)] };
-            return self.send(now, id, Answer { word: Word::Ok(copy), note: Note::None, waited: 0 });
+            return self.send(
+                now,
+                id,
+                Answer { status: Status::Ok(copy), result: CacheResult::None, waited: 0 },
+            );
         }
         let held = if pull.runs { None } else { node.copies.get(&pull.key) };
         if let Some(copy) = held.filter(|copy| now.saturating_sub(copy.made) <= pull.max_age) {
-            return self.send(now, id, Answer { word: Word::Ok(copy), note: Note::Hit, waited: 0 });
+            return self.send(
+                now,
+                id,
+                Answer { status: Status::Ok(copy), result: CacheResult::Hit, waited: 0 },
+            );
         }
         let Some(source) = pull.source.filter(|source| *source != store) else {
-            return self.end(now, id, Some(Answer { word: Word::Nothing, note: Note::None, waited: 0 }));
+            return self.end(
+                now,
+                id,
+                Some(Answer { status: Status::Nothing, result: CacheResult::None, waited: 0 }),
+            );
         };
         let under_way = node.fills.values_mut().find(|fill| fill.key == pull.key);
         if let Some(fill) = under_way.filter(|_| pull.ride && !pull.runs) {
@@ -116,8 +132,8 @@
         }
     }
 
-    fn refuse(&mut self, now: Micros, id: TaskId, note: Note) {
-        self.end(now, id, Some(Answer { word: Word::Refused, note, waited: 0 }));
+    fn refuse(&mut self, now: Micros, id: TaskId, result: CacheResult) {
+        self.end(now, id, Some(Answer { status: Status::Refused, result, waited: 0 }));
     }
 
     /// A request has ended at its store. `None`: that is dead.
@@ -125,8 +141,8 @@
         let Some(task) = self.tasks.remove(&id) else { return };
         match task.owner {
             Owner::Outside => {
-                let dead = Answer { word: Word::Error, note: Note::None, waited: 0 };
-                self.told.push(Told::Answer(id, answer.unwrap_or(dead)));
+                let dead = Answer { status: Status::Error, result: CacheResult::None, waited: 0 };
+                self.events.push(WorldEvent::Answer(id, answer.unwrap_or(dead)));
             }
             Owner::Fill(store, life, fill) => {
                 let way = self.way(task.store, store);
--- a/crates/lab/src/model/world/tests.rs
+++ b/crates/lab/src/model/world/tests.rs
@@ -53,46 +53,49 @@
 }
 
 /// Plays until nothing is due, or to a time; answers with when they came.
-fn play(world: &mut World, to: Micros) -> Vec<(Micros, Told)> {
+fn play(world: &mut World, to: Micros) -> Vec<(Micros, WorldEvent)> {
     let mut all = Vec::new();
     while let Some(at) = world.next().filter(|at| *at <= to) {
-        all.extend(world.advance(at).into_iter().map(|told| (at, told)));
+        all.extend(world.advance(at).into_iter().map(|event| (at, event)));
     }
     all
 }
 
 fn answer(world: &mut World, now: Micros, store: PartyId, asked: Pull) -> Answer {
     let id = world.pull(now, store, asked);
-    let told = play(world, Micros::MAX).into_iter().find_map(|(_, told)| match told {
-        Told::Answer(of, answer) if of == id => Some(answer),
+    let event = play(world, Micros::MAX).into_iter().find_map(|(_, event)| match event {
+        WorldEvent::Answer(of, answer) if of == id => Some(answer),
         _ => None,
     });
-    told.unwrap()
+    event.unwrap()
 }
 
 #[test]
 fn a_miss_is_filled_by_parent_and_origin_and_kept_by_both() {
     let mut world = world();
     let first = answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
-    assert_eq!(first.note, Note::Miss);
+    assert_eq!(first.result, CacheResult::Miss);
     assert!(first.waited >= 10_000, "there and back to the hub: {}", first.waited);
-    assert_eq!(answer(&mut world, 1_000_000, CACHE, pull("aa01", None)).note, Note::Hit);
-    assert_eq!(answer(&mut world, 1_000_000, OTHER, pull("aa01", Some(PARENT))).note, Note::Miss);
-    assert_eq!(answer(&mut world, 1_000_000, PARENT, pull("aa01", None)).note, Note::Hit);
-    assert_eq!(answer(&mut world, 1_000_000, CACHE, pull("bb01", Some(ORIGIN))).note, Note::MissRoot);
+    assert_eq!(answer(&mut world, 1_000_000, CACHE, pull("aa01", None)).result, CacheResult::Hit);
+    assert_eq!(answer(&mut world, 1_000_000, OTHER, pull("aa01", Some(PARENT))).result, CacheResult::Miss);
+    assert_eq!(answer(&mut world, 1_000_000, PARENT, pull("aa01", None)).result, CacheResult::Hit);
+    assert_eq!(
+        answer(&mut world, 1_000_000, CACHE, pull("bb01", Some(ORIGIN))).result,
+        CacheResult::MissRoot
+    );
 }
 
 #[rstest]
-#[case::no_source(None, false, Note::None)]
-#[case::other_cache(Some(OTHER), false, Note::SourceLacks)]
-#[case::what_it_holds(Some(PARENT), true, Note::SourceLacks)]
+#[case::no_source(None, false, CacheResult::None)]
+#[case::other_cache(Some(OTHER), false, CacheResult::SourceLacks)]
+#[case::what_it_holds(Some(PARENT), true, CacheResult::SourceLacks)]
 fn what_nobody_fills_is_nothing(
     #[case] source: Option<PartyId>,
     #[case] held_only: bool,
-    #[case] note: Note,
+    #[case] result: CacheResult,
 ) {
-    let told = answer(&mut world(), 0, CACHE, Pull { held_only, ..pull("aa01", source) });
-    assert_eq!((told.word, told.note), (Word::Nothing, note));
+    let event = answer(&mut world(), 0, CACHE, Pull { held_only, ..pull("aa01", source) });
+    assert_eq!((event.status, event.result), (Status::Nothing, result));
 }
 
 #[test]
@@ -101,12 +104,14 @@
     let mut world = World::new([(ORIGIN, spec(Kind::Origin, "hub", 8)), (CACHE, quick)], 0, 5);
     world.pull(0, CACHE, Pull { ride: true, ..pull("aa01", Some(ORIGIN)) });
     world.pull(0, CACHE, Pull { ride: true, ..pull("aa01", Some(ORIGIN)) });
-    let mut notes: Vec<Note> = play(&mut world, Micros::MAX)
+    let mut results: Vec<CacheResult> = play(&mut world, Micros::MAX)
         .into_iter()
-        .filter_map(|(_, told)| if let Told::Answer(_, answer) = told { Some(answer.note) } else { None })
+        .filter_map(
+            |(_, event)| if let WorldEvent::Answer(_, answer) = event { Some(answer.result) } else { None },
+        )
         .collect();
-    notes.sort_by_key(|note| *note == Note::Join);
-    assert_eq!(notes, [Note::MissRoot, Note::Join]);
+    results.sort_by_key(|result| *result == CacheResult::Join);
+    assert_eq!(results, [CacheResult::MissRoot, CacheResult::Join]);
 }
 
 #[test]
@@ -116,9 +121,9 @@
     world.purge(1_000_000, 1);
     // The store may not have heard yet; who asks for nothing older gets nothing older.
     let young = Pull { max_age: 0, ..pull("aa01", None) };
-    assert_eq!(answer(&mut world, 1_000_001, CACHE, young).word, Word::Nothing);
+    assert_eq!(answer(&mut world, 1_000_001, CACHE, young).status, Status::Nothing);
     play(&mut world, 3_000_000);
-    assert_eq!(answer(&mut world, 3_000_000, CACHE, pull("aa01", None)).word, Word::Nothing);
+    assert_eq!(answer(&mut world, 3_000_000, CACHE, pull("aa01", None)).status, Status::Nothing);
     assert_eq!(world.version(1), 1);
 }
 
@@ -130,15 +135,15 @@
     world.crash(1_000_000, CACHE);
     assert!(play(&mut world, 2_000_000).is_empty() && !world.is_alive(CACHE));
     world.start(2_000_000, CACHE);
-    assert_eq!(answer(&mut world, 2_000_000, CACHE, pull("aa01", None)).word, Word::Nothing);
+    assert_eq!(answer(&mut world, 2_000_000, CACHE, pull("aa01", None)).status, Status::Nothing);
 }
 
 #[test]
 fn a_dead_parent_ends_the_fills_that_wait_for_it() {
     let mut world = world();
     world.crash(0, PARENT);
-    let told = answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
-    assert_eq!((told.word, told.note), (Word::Error, Note::SourceDead));
+    let event = answer(&mut world, 0, CACHE, pull("aa01", Some(PARENT)));
+    assert_eq!((event.status, event.result), (Status::Error, CacheResult::SourceDead));
 }
 
 #[test]
@@ -153,7 +158,7 @@
         // Of 8 slots a fifth bears 160 requests a second, and falls above 320; a second later above 450.
         for at in 0..2_000 {
             let now = at * 2_000;
-            fell |= play(&mut world, now).iter().any(|(_, told)| *told == Told::Fell(CACHE));
+            fell |= play(&mut world, now).iter().any(|(_, event)| *event == WorldEvent::Fell(CACHE));
             if world.is_alive(CACHE) {
                 world.pull(now, CACHE, pull("aa01", None));
             }
@@ -171,7 +176,7 @@
         world.pull(at * 2_000, ORIGIN, pull("aa01", None));
         refused += play(&mut world, at * 2_000)
             .iter()
-            .filter(|(_, told)| matches!(told, Told::Answer(_, answer) if answer.word == Word::Refused))
+            .filter(|(_, event)| matches!(event, WorldEvent::Answer(_, answer) if answer.status == Status::Refused))
             .count();
     }
     assert!((3_980..=4_000).contains(&refused), "{refused}");
@@ -188,10 +193,10 @@
     let mut random = Pcg64Mcg::seed_from_u64(23);
     let (mut now, mut inside, mut last, count) = (0.0_f64, 0.0, 0.0, 400_000);
     let (mut came, mut stayed, mut ended) = (HashMap::new(), 0.0, 0.0);
-    let mut take = |told: Vec<(Micros, Told)>, came: &mut HashMap<TaskId, f64>| {
-        for (at, told) in told {
-            let Told::Answer(id, answer) = told else { continue };
-            assert_ne!(answer.word, Word::Refused);
+    let mut take = |event: Vec<(Micros, WorldEvent)>, came: &mut HashMap<TaskId, f64>| {
+        for (at, event) in event {
+            let WorldEvent::Answer(id, answer) = event else { continue };
+            assert_ne!(answer.status, Status::Refused);
             stayed += at as f64 - came.remove(&id).unwrap();
             ended += 1.0;
         }
@@ -201,7 +206,7 @@
         while let Some(at) = world.next().filter(|at| *at as f64 <= now) {
             inside += world.inside(ORIGIN) as f64 * (at as f64 - last);
             last = at as f64;
-            take(world.advance(at).into_iter().map(|told| (at, told)).collect(), &mut came);
+            take(world.advance(at).into_iter().map(|event| (at, event)).collect(), &mut came);
         }
         inside += world.inside(ORIGIN) as f64 * (now - last);
         last = now;
--- a/crates/lab/src/model/world/types.rs
+++ b/crates/lab/src/model/world/types.rs
@@ -32,7 +32,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq)]
-pub enum Word {
+pub enum Status {
     Ok(Copy),
     Nothing,
     Refused,
@@ -42,7 +42,7 @@
 
 /// Why, as far as a store tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Note {
+pub enum CacheResult {
     None,
     Hit,
     Miss,
@@ -55,8 +55,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
-    pub word: Word,
-    pub note: Note,
+    pub status: Status,
+    pub result: CacheResult,
     /// Waited for the source.
     pub waited: Micros,
 }
@@ -82,7 +82,7 @@
 
 /// What the world has to tell.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Told {
+pub enum WorldEvent {
     Answer(TaskId, Answer),
     /// A cold store was sent far more than it bears, and has died of it.
     Fell(PartyId),
--- a/crates/lab/src/wire.rs
+++ b/crates/lab/src/wire.rs
@@ -1,6 +1,6 @@
 //! The platform's line protocol from the store's side: commands out of bytes, and answers.
 
-use crate::model::world::Note;
+use crate::model::world::CacheResult;
 use crate::trace::Micros;
 use std::collections::VecDeque;
 
@@ -139,16 +139,16 @@
     }
 }
 
-pub fn note_word(note: Note) -> Option<&'static str> {
-    Some(match note {
-        Note::None => return None,
-        Note::Hit => "TCP_HIT",
-        Note::Miss => "TCP_MISS",
-        Note::MissRoot => "TCP_MISS_ROOT",
-        Note::Join => "TCP_JOIN",
-        Note::SourceDenied => "PEER_DENY",
-        Note::SourceDead => "PEER_DEAD",
-        Note::SourceLacks => "PEER_MISS",
+pub fn result_word(result: CacheResult) -> Option<&'static str> {
+    Some(match result {
+        CacheResult::None => return None,
+        CacheResult::Hit => "TCP_HIT",
+        CacheResult::Miss => "TCP_MISS",
+        CacheResult::MissRoot => "TCP_MISS_ROOT",
+        CacheResult::Join => "TCP_JOIN",
+        CacheResult::SourceDenied => "PEER_DENY",
+        CacheResult::SourceDead => "PEER_DEAD",
+        CacheResult::SourceLacks => "PEER_MISS",
     })
 }
 
