--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -1,20 +1,20 @@
 //! A relay's side of the feed: it follows the bus, or another relay, by a [`Subscription`](crate::subscription) of its
 //! own, and answers the polls of many subscribers.
 //!
-//! - [`log`](mod@log): the events that can be told one by one;
-//! - [`purges`] and [`topology`]: the whole state, for snapshots;
-//! - [`held`]: polls that wait for something new;
-//! - [`admission`]: how many may poll;
+//! - `log`: the events that can be told one by one;
+//! - [`purges`] and `topology`: the whole state, for snapshots;
+//! - `held`: polls that wait for something new;
+//! - `admission`: how many may poll;
 //! - [`acknowledgements`] and [`watermark`]: what is done everywhere;
 //! - [`report`]: what other relays and operators are told.
 
 pub mod acknowledgements;
-pub mod admission;
-pub mod held;
-pub mod log;
+mod admission;
+mod held;
+mod log;
 pub mod purges;
 pub mod report;
-pub mod topology;
+mod topology;
 pub mod watermark;
 
 use crate::message::{Answer, FeedId, Head, Poll, RawEvent};
@@ -107,7 +107,7 @@
     Disordered { offset: u64, after: u64 },
     /// An event is beyond the answer's own offset.
     BeyondAnswer { offset: u64, told: u64 },
-    /// The list of stores is longer than [`STORES_ROOM`].
+    /// The list of stores is longer than 16,384.
     TooManyStores(usize),
     /// An event can't be written as JSON.
     Unwritable { offset: u64 },
@@ -313,7 +313,7 @@
             log_base: self.log.base(),
             log_events: self.log.len(),
             stores: self.topology.len(),
-            purges: self.purges.len(),
+            purges: self.purges.count(),
             purge_floors: self.purges.floors().len(),
             subscribers: count,
             peers: self.watermark.peers().map(peer).collect(),
--- a/crates/feed/src/relay/purges.rs
+++ b/crates/feed/src/relay/purges.rs
@@ -91,7 +91,8 @@
         self.floors.iter().map(floor).chain(self.by_number.values().filter_map(single))
     }
 
-    pub fn len(&self) -> usize {
+    /// Purges kept one by one.
+    pub fn count(&self) -> usize {
         self.by_key.len()
     }
 
--- a/crates/feed/tests/purges.rs
+++ b/crates/feed/tests/purges.rs
@@ -53,7 +53,7 @@
             purges.add(now, &ban);
             truth.push((now, ban));
             truth.retain(|(learned, _)| now - learned <= KEEP);
-            prop_assert!(purges.len() <= room);
+            prop_assert!(purges.count() <= room);
             for (_, ban) in &truth {
                 let Some(path) = &ban.url else { continue };
                 prop_assert!(known(&purges, path) >= Some(ban.ts), "{path} at {now}");
@@ -67,7 +67,7 @@
     let mut purges = Purges::new(KEEP, 10);
     purges.add(0, &url("/a".to_owned(), 9));
     purges.add(1, &url("/a".to_owned(), 3));
-    assert_eq!((known(&purges, "/a"), purges.len()), (Some(9), 1));
+    assert_eq!((known(&purges, "/a"), purges.count()), (Some(9), 1));
 }
 
 #[test]
@@ -87,9 +87,9 @@
     purges.add(0, &url("/a".to_owned(), 1));
     purges.add(10, &url("/b".to_owned(), 1));
     purges.expire(KEEP);
-    assert_eq!((purges.len(), purges.floors().len()), (1, 1));
+    assert_eq!((purges.count(), purges.floors().len()), (1, 1));
     purges.expire(KEEP + 1);
-    assert_eq!((purges.len(), purges.floors().len()), (1, 0));
+    assert_eq!((purges.count(), purges.floors().len()), (1, 0));
     purges.expire(KEEP + 11);
     assert_eq!(purges.all().count(), 0);
 }
@@ -100,5 +100,5 @@
     for number in 0..300 {
         purges.add(0, &url("u".repeat(10_000) + &number.to_string(), 1));
     }
-    assert!(purges.len() < 210 && purges.floors().len() > 80);
+    assert!(purges.count() < 210 && purges.floors().len() > 80);
 }
