crates/feed: asking for the whole state takes nobody back in the numbering known

A subscriber that had refused another numbering and then met a relay of its own one that was behind took its older state for the whole. Test: asking_for_the_whole_state_takes_nobody_back_in_the_numbering_known.

--- a/crates/feed/src/subscription.rs
+++ b/crates/feed/src/subscription.rs
@@ -208,6 +208,8 @@
     pub fn answered(&mut self, now: Micros, sent: Micros, head: &Head) -> Result<Taken, Rejected> {
         self.pending = None;
         self.answered_here = true;
+        // The whole state is asked for only of another numbering: in the one known nobody goes back.
+        self.ask_anew &= head.feed != self.feed;
         let taken = self.judge(head).inspect_err(|rejected| self.reject(now, rejected))?;
         if self.settings.plain && taken == Taken::Nothing {
             self.following = true;
--- a/crates/feed/tests/subscription.rs
+++ b/crates/feed/tests/subscription.rs
@@ -141,6 +141,17 @@
     assert_eq!((poll.from, poll.feed), (3, feed("g")));
 }
 
+#[test]
+fn asking_for_the_whole_state_takes_nobody_back_in_the_numbering_known() {
+    let mut subscription = following(2, 50);
+    let other = Head { feed: feed("g"), ..head(60, 0) };
+    assert!(subscription.answered(START, START, &other).is_err());
+    // The next relay is of the numbering known, but behind.
+    assert_eq!(subscription.answered(START, START, &head(4, 0)), Ok(Taken::Nothing));
+    assert_eq!(next_poll(&mut subscription, START).2.from, 50);
+    assert_eq!(subscription.answered(START, START, &head(51, 0)), Ok(Taken::Changes { after: 50 }));
+}
+
 #[test]
 fn a_bus_that_tells_the_whole_from_the_start_is_taken_as_a_whole() {
     let mut subscription = following(1, 50);
