--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -152,6 +152,18 @@
     assert!(!broker.may_send(3 * MS, &waits));
 }
 
+/// A process that was stopped: its attempts are overdue, and purges have been dropped as older than any in time.
+#[test]
+fn an_overdue_attempt_is_not_written_as_its_purge_may_have_been_dropped() {
+    let mut broker = broker();
+    let overdue = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), Told::default()));
+    broker.purged(SECOND, Some("a".into()), None, 0);
+    broker.purged(10 * SECOND, Some("o".into()), None, 0);
+    assert!(!broker.may_send(10 * SECOND, &overdue));
+    let new = attempt(broker.pick(10 * SECOND, request(2, 0), Caller::anonymous(), Told::default()));
+    assert!(broker.may_send(10 * SECOND, &new));
+}
+
 const LASTS: Micros = 1_700 * MS;
 
 fn lease(as_of: Option<Micros>) -> Lease {
