--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,5 +1,7 @@
 //! `sagearch-control`, which `sagearch control` calls: the service, and the operators' commands to it.
 
+mod feed;
+
 use clap::{Args, Parser, Subcommand};
 use sagearch_control::DOCUMENT;
 use sagearch_control::client::Caller;
@@ -93,6 +95,9 @@
         #[command(flatten)]
         to: To,
     },
+    /// The event feed: what its relays know of gateways
+    #[command(subcommand)]
+    Feed(feed::FeedCommand),
 }
 
 struct Disk;
@@ -195,6 +200,7 @@
             }
             return Ok(changes.is_empty());
         }
+        Command::Feed(command) => return feed::run(command),
     }
     Ok(true)
 }
--- /dev/null
+++ b/crates/control/tests/feed.rs
@@ -0,0 +1,141 @@
+//! The commands to relays, against a relay in this process that follows a small stand-in of the event bus.
+
+use sagearch_operators::OneFile;
+use sagearch_operators::relay::relay;
+use sagearch_relay::RunningRelay;
+use serde_json::Value;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+/// A bus with one event, a list; it holds polls for what is later. Ends with the test.
+fn start_bus() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve_bus(stream));
+        }
+    });
+    address
+}
+
+fn serve_bus(mut stream: TcpStream) -> Option<()> {
+    let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
+    loop {
+        let request = lines.next()?.ok()?;
+        while !lines.next()?.ok()?.is_empty() {}
+        let news = request.contains("from=0&");
+        if !news {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let batch = match news {
+            true => r#"{"offset":1,"topology":{"generation":1,"reset":true,"instances":[]}}"#,
+            false => "",
+        };
+        let body = format!(r#"{{"offset":1,"feed":"feed-a","batch":[{batch}]}}"#);
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+    }
+}
+
+struct Fixture {
+    runtime: tokio::runtime::Runtime,
+    relay: RunningRelay,
+}
+
+impl Fixture {
+    /// A relay with a lease so long that only acknowledgements make an offset done.
+    fn start() -> Fixture {
+        let runtime = tokio::runtime::Runtime::new().unwrap();
+        let text = format!(
+            "relay \"r1\" listen=\"127.0.0.1:0\" lease=\"30s\" {{\n    upstream \"{}\"\n}}\n",
+            start_bus()
+        );
+        let file = relay("relay.kdl", &OneFile { name: "relay.kdl", text: &text }).unwrap();
+        let relay = runtime.block_on(async { RunningRelay::start(&file) }).unwrap();
+        Fixture { runtime, relay }
+    }
+
+    /// A poll of a gateway, once the relay has its first event.
+    fn poll(&self, from: u64) {
+        let began = Instant::now();
+        loop {
+            let mut stream = TcpStream::connect(self.relay.address).unwrap();
+            let path = format!("/bus/read?from={from}&hold=0&feed=feed-a&name=gate/1&incarnation=5");
+            write!(stream, "GET {path} HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n").unwrap();
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).unwrap();
+            if answer.starts_with("HTTP/1.1 200") && answer.contains("\"offset\":1") {
+                return;
+            }
+            assert!(began.elapsed() < Duration::from_secs(20), "{answer}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn feed(&self, arguments: &[&str]) -> Output {
+        feed(&self.relay.address.to_string(), arguments)
+    }
+}
+
+fn feed(relay: &str, arguments: &[&str]) -> Output {
+    let program = env!("CARGO_BIN_EXE_sagearch-control");
+    Command::new(program).arg("feed").args(arguments).args(["--relay", relay]).output().unwrap()
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or_else(|_| panic!("{output:?}"))
+}
+
+#[test]
+fn status_wait_and_forget_do_what_they_say() {
+    let fixture = Fixture::start();
+    fixture.poll(0);
+
+    let waiting = fixture.feed(&["wait", "1", "--within", "300ms"]);
+    assert_eq!(waiting.status.code(), Some(1), "{waiting:?}");
+    assert!(text(&waiting).starts_with("offset 1 is not done everywhere"), "{waiting:?}");
+
+    let status = json(&fixture.feed(&["status", "--json", "--offset", "1"]));
+    assert_eq!(status["relay"], "r1");
+    assert_eq!(status["offset"], 1);
+    assert_eq!(status["behind"], serde_json::json!(["gate/1"]));
+
+    fixture.poll(1);
+    let waiting = fixture.feed(&["wait", "1", "--within", "10s"]);
+    assert_eq!(waiting.status.code(), Some(0), "{waiting:?}");
+    assert!(text(&waiting).starts_with("offset 1 is done everywhere"), "{waiting:?}");
+    assert_eq!(json(&fixture.feed(&["wait", "1", "--json"]))["done"], true);
+
+    let status = text(&fixture.feed(&["status"]));
+    assert!(status.contains("offset: 1\n") && status.contains("gate/1"), "{status}");
+
+    let forgotten = fixture.feed(&["forget", "gate/1"]);
+    assert_eq!((forgotten.status.code(), text(&forgotten).trim()), (Some(0), "gate/1 is forgotten"));
+    let forgotten = fixture.feed(&["forget", "gate/1"]);
+    assert_eq!((forgotten.status.code(), text(&forgotten).trim()), (Some(0), "gate/1 was not known"));
+    fixture.runtime.block_on(fixture.relay.stop());
+}
+
+#[test]
+fn the_first_relay_that_answers_counts_and_none_is_a_fault() {
+    let fixture = Fixture::start();
+    fixture.poll(0);
+    let nobody = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let address = fixture.relay.address.to_string();
+    let both = feed(&nobody, &["status", "--json", "--relay", &address]);
+    assert_eq!(json(&both)["relay"], "r1");
+
+    let none = feed(&nobody, &["status"]);
+    assert_eq!(none.status.code(), Some(2));
+    assert!(String::from_utf8(none.stderr).unwrap().contains(&nobody));
+
+    let long = fixture.feed(&["wait", "1", "--within", "2h"]);
+    assert_eq!(long.status.code(), Some(2));
+    assert!(String::from_utf8(long.stderr).unwrap().contains("within_ms is over 60000"));
+}
--- a/crates/operators/src/lib.rs
+++ b/crates/operators/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod identity;
 pub mod item;
 pub mod reference;
+pub mod relay;
 pub mod schema;
 pub mod tls;
 
--- a/crates/operators/src/schema.rs
+++ b/crates/operators/src/schema.rs
@@ -70,12 +70,12 @@
     pub without: Without,
 }
 
-const fn property(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Property {
+pub(crate) const fn property(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Property {
     Property { name, kind, without, about }
 }
 
 /// A node with one value and nothing else.
-const fn value(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Rule {
+pub(crate) const fn value(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Rule {
     Rule {
         name,
         about,
@@ -87,7 +87,7 @@
     }
 }
 
-const fn node(
+pub(crate) const fn node(
     name: &'static str,
     values: Values,
     properties: &'static [Property],
@@ -97,7 +97,7 @@
     Rule { name, about, values, properties, children, many: false, without: Without::Nothing }
 }
 
-const fn many(rule: Rule) -> Rule {
+pub(crate) const fn many(rule: Rule) -> Rule {
     Rule { many: true, ..rule }
 }
 
@@ -576,6 +576,9 @@
 /// A control service's own file.
 pub static SERVICE_FILE: Rule = node("", Values::None, &[], &[&SERVICE], "the control service's file");
 
+/// A relay's own file.
+pub static RELAY_FILE: Rule = node("", Values::None, &[], &[&crate::relay::RELAY], "the relay's file");
+
 /// A gateway's own file.
 pub static FILE: Rule = node(
     "",
--- /dev/null
+++ b/crates/relay/src/client.rs
@@ -0,0 +1,106 @@
+//! The HTTP client for upstreams and peers: whole answers of bounded length.
+
+use crate::chain::{Chain, FEED_VIA};
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Empty, LengthLimitError, Limited};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use sagearch_feed::Micros;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// The longest body that is read: a snapshot of thousands of stores with all purges in force.
+pub const LONGEST_BODY: usize = 32 * 1024 * 1024;
+const CONNECTED_WITHIN: Duration = Duration::from_millis(400);
+const IDLE_FOR: Duration = Duration::from_secs(10);
+/// A pause that an answer asks for is not taken to be longer.
+const LONGEST_PAUSE_MS: u64 = 10_000;
+
+/// A client with its pool of connections.
+#[derive(Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Empty<Bytes>>,
+}
+
+/// A whole answer with status 200.
+pub struct Answered {
+    pub body: Bytes,
+    pub chain: Chain,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Error)]
+pub enum CallError {
+    #[error("unreachable: {0}")]
+    Unreachable(String),
+    #[error("the connection was lost: {0}")]
+    Lost(String),
+    #[error("answered {status}")]
+    Refused { status: StatusCode, retry_after: Option<Micros> },
+    #[error("the answer is cut: {0}")]
+    Cut(String),
+    #[error("the answer is over {LONGEST_BODY} bytes")]
+    TooLong,
+}
+
+impl HttpClient {
+    pub fn new() -> HttpClient {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECTED_WITHIN));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_FOR)
+            .pool_max_idle_per_host(1)
+            .build(connector);
+        HttpClient { client }
+    }
+
+    /// Gets a path, `/...`, of a server.
+    pub async fn get(&self, server: SocketAddr, path: &str) -> Result<Answered, CallError> {
+        let request = Request::get(format!("http://{server}{path}"))
+            .body(Empty::new())
+            .map_err(|e| CallError::Unreachable(e.to_string()))?;
+        let response = self.client.request(request).await.map_err(|e| match e.is_connect() {
+            true => CallError::Unreachable(cause_of(&e)),
+            false => CallError::Lost(cause_of(&e)),
+        })?;
+        let (head, body) = response.into_parts();
+        if head.status != StatusCode::OK {
+            return Err(CallError::Refused { status: head.status, retry_after: retry_after(&head.headers) });
+        }
+        let body = Limited::new(body, LONGEST_BODY).collect().await.map_err(|e| {
+            match e.downcast_ref::<LengthLimitError>() {
+                Some(_) => CallError::TooLong,
+                None => CallError::Cut(e.to_string()),
+            }
+        })?;
+        let via = head.headers.get(FEED_VIA).and_then(|value| value.to_str().ok());
+        Ok(Answered { body: body.to_bytes(), chain: Chain::parse(via) })
+    }
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        HttpClient::new()
+    }
+}
+
+/// The innermost cause, such as "connection refused"; the outer ones say only that a call failed.
+fn cause_of(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(inner) = cause.source() {
+        cause = inner;
+    }
+    cause.to_string()
+}
+
+/// How long a refusal asks to wait: `Retry-After-Ms`, or else `Retry-After` in whole seconds.
+fn retry_after(headers: &HeaderMap) -> Option<Micros> {
+    let number = |name: &str| headers.get(name)?.to_str().ok()?.trim().parse::<u64>().ok();
+    let millis = number("retry-after-ms").or_else(|| Some(number("retry-after")?.saturating_mul(1_000)))?;
+    Some(millis.min(LONGEST_PAUSE_MS) * 1_000)
+}
--- /dev/null
+++ b/crates/relay/src/routes.rs
@@ -0,0 +1,187 @@
+//! The HTTP calls: polls, reports, status, wait, forget and metrics.
+
+use crate::chain::FEED_VIA;
+use crate::metrics;
+use crate::process::ProcessUsage;
+use crate::state::{PollEnd, SharedBody, State, count};
+use crate::status::RelayStatus;
+use axum::extract::{Extension, Query, RawQuery, State as Shared};
+use axum::http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use axum::response::{IntoResponse, Json, Response};
+use axum::routing::{get, post};
+use axum::{Router, body::Body};
+use bytes::Bytes;
+use sagearch_feed::message::Poll;
+use serde::{Deserialize, Serialize};
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Semaphore;
+
+const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+/// Calls to `/feed/wait` that are open at once, how long one may be, and how often it looks.
+const MOST_WAITERS: usize = 64;
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+const WAIT_LOOKS_EVERY: Duration = Duration::from_millis(10);
+
+/// Who has opened a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    pub address: IpAddr,
+}
+
+/// What the handlers share.
+#[derive(Clone)]
+pub struct Context {
+    state: Arc<State>,
+    waiters: Arc<Semaphore>,
+    connections: Arc<crate::admission::Admission>,
+}
+
+/// The calls of a relay.
+pub fn router(state: Arc<State>, connections: Arc<crate::admission::Admission>) -> Router {
+    let context = Context { state, waiters: Arc::new(Semaphore::new(MOST_WAITERS)), connections };
+    Router::new()
+        .route("/bus/read", get(read))
+        .route("/feed/report", get(report))
+        .route("/feed/status", get(status))
+        .route("/feed/wait", get(wait))
+        .route("/feed/forget", post(forget))
+        .route("/metrics", get(metrics_text))
+        .with_state(context)
+}
+
+async fn read(
+    Shared(context): Shared<Context>,
+    Extension(caller): Extension<Caller>,
+    RawQuery(query): RawQuery,
+) -> Response {
+    let state = &context.state;
+    let end = match Poll::parse(query.as_deref().unwrap_or_default()) {
+        Ok(poll) => state.poll(caller.address, poll).await,
+        Err(e) => PollEnd::Bad(e.to_string()),
+    };
+    match end {
+        PollEnd::Answered(body) => answer(state, body),
+        PollEnd::Busy { retry_after_ms } => {
+            count(&state.counters.busy, 1);
+            busy(retry_after_ms)
+        }
+        PollEnd::Bad(cause) => {
+            count(&state.counters.bad, 1);
+            bad_request(cause)
+        }
+        PollEnd::Stopping => stopping(),
+    }
+}
+
+fn answer(state: &State, body: SharedBody) -> Response {
+    count(&state.counters.answers, 1);
+    count(&state.counters.answer_bytes, body.len() as u64);
+    let mut headers = HeaderMap::with_capacity(2);
+    headers.insert(CONTENT_TYPE, JSON);
+    headers.insert(FEED_VIA, state.chain_header());
+    (headers, Body::from(Bytes::from_owner(body))).into_response()
+}
+
+fn busy(retry_after_ms: u64) -> Response {
+    let mut headers = HeaderMap::with_capacity(2);
+    headers.insert(RETRY_AFTER, retry_after_ms.div_ceil(1_000).into());
+    headers.insert(RETRY_AFTER_MS, retry_after_ms.into());
+    (StatusCode::SERVICE_UNAVAILABLE, headers, "busy\n").into_response()
+}
+
+fn stopping() -> Response {
+    let mut response = busy(0);
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
+fn bad_request(cause: String) -> Response {
+    (StatusCode::BAD_REQUEST, format!("{cause}\n")).into_response()
+}
+
+async fn report(Shared(context): Shared<Context>) -> Response {
+    let state = &context.state;
+    let report = state.decisions().relay.report(state.clock.now());
+    Json(report).into_response()
+}
+
+#[derive(Deserialize)]
+struct StatusQuery {
+    offset: Option<u64>,
+}
+
+async fn status(Shared(context): Shared<Context>, Query(query): Query<StatusQuery>) -> Response {
+    Json(context.relay_status(query.offset)).into_response()
+}
+
+async fn metrics_text(Shared(context): Shared<Context>) -> Response {
+    match metrics::text(&context.relay_status(None)) {
+        Ok(text) => ([(CONTENT_TYPE, metrics::CONTENT_TYPE)], text).into_response(),
+        Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()).into_response(),
+    }
+}
+
+impl Context {
+    fn relay_status(&self, offset: Option<u64>) -> RelayStatus {
+        RelayStatus::read(&self.state, self.connections.connections(), ProcessUsage::read(), offset)
+    }
+}
+
+#[derive(Deserialize)]
+struct WaitQuery {
+    offset: u64,
+    within_ms: u64,
+}
+
+/// Whether an offset is done everywhere.
+#[derive(Serialize)]
+struct WaitAnswer {
+    done: bool,
+    offset: u64,
+    /// From when the relay learned the offset to when it was done everywhere.
+    took_ms: Option<f64>,
+    watermark: u64,
+}
+
+async fn wait(Shared(context): Shared<Context>, Query(query): Query<WaitQuery>) -> Response {
+    let within = Duration::from_millis(query.within_ms);
+    if within > LONGEST_WAIT {
+        return bad_request(format!("within_ms is over {}", LONGEST_WAIT.as_millis()));
+    }
+    let Ok(_place) = context.waiters.try_acquire() else { return busy(1_000) };
+    let until = tokio::time::Instant::now() + within;
+    loop {
+        let answer = context.wait_answer(query.offset);
+        if answer.done || tokio::time::Instant::now() >= until || context.state.stopping() {
+            return Json(answer).into_response();
+        }
+        tokio::time::sleep(WAIT_LOOKS_EVERY).await;
+    }
+}
+
+impl Context {
+    fn wait_answer(&self, offset: u64) -> WaitAnswer {
+        todo!()
+    }
+}
+
+#[derive(Deserialize)]
+struct ForgetQuery {
+    name: String,
+}
+
+#[derive(Serialize)]
+struct ForgetAnswer {
+    name: String,
+    forgotten: bool,
+}
+
+async fn forget(Shared(context): Shared<Context>, Query(query): Query<ForgetQuery>) -> Response {
+    let forgotten = context.state.decisions().relay.forget(&query.name);
+    tracing::info!(subscriber = query.name, forgotten, "a subscriber is to be forgotten");
+    Json(ForgetAnswer { name: query.name, forgotten }).into_response()
+}
--- /dev/null
+++ b/crates/relay/src/running.rs
@@ -0,0 +1,137 @@
+//! Starts and stops a relay.
+
+use crate::admission::{Admission, Limits};
+use crate::client::HttpClient;
+use crate::clock::{Clock, unix_micros};
+use crate::state::State;
+use crate::upstream::Follower;
+use crate::{listener, peers, routes, ticker};
+use sagearch_feed::relay::{Relay, Settings as RelaySettings};
+use sagearch_feed::subscription::{Settings as SubscriptionSettings, Subscription};
+use sagearch_feed::{MILLISECOND, Micros};
+use sagearch_operators::relay::RelayFile;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Descriptors beside those of connections: upstreams, peers, `/proc`, the log.
+const OWN_DESCRIPTORS: usize = 128;
+
+/// Why a relay does not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("{address}: {cause}")]
+    Listen { address: SocketAddr, cause: std::io::Error },
+    #[error("{0} descriptors are needed for the connections stated, and the system allows {1}")]
+    Descriptors(usize, u64),
+    #[error("the limit of descriptors can't be read: {0}")]
+    DescriptorLimit(std::io::Error),
+}
+
+/// A relay that serves. Dropping it ends it at once; [`RunningRelay::stop`] ends it in order.
+pub struct RunningRelay {
+    pub address: SocketAddr,
+    state: Arc<State>,
+    stop: watch::Sender<bool>,
+    serving: JoinHandle<()>,
+    /// The ticker, the follower of the upstream, and one task for each peer.
+    tasks: JoinSet<()>,
+}
+
+impl RunningRelay {
+    /// Listens and serves; must be called in a tokio runtime.
+    pub fn start(file: &RelayFile) -> Result<RunningRelay, StartError> {
+        let limits = Limits { connections: file.sessions, per_address: file.per_address };
+        raise_descriptors(Admission::descriptors(limits) + OWN_DESCRIPTORS)?;
+        let listen = |cause| StartError::Listen { address: file.listen, cause };
+        let listener = listener::bind(file.listen).map_err(listen)?;
+        let address = listener.local_addr().map_err(listen)?;
+
+        let clock = Clock::start();
+        let relay = Relay::new(relay_settings(file), clock.now());
+        let state = Arc::new(State::new(&file.name, relay, clock));
+        let tasks = start_tasks(file, &state);
+
+        let admission = Admission::new(limits);
+        let router = routes::router(state.clone(), admission.clone());
+        let (stop, stopped) = watch::channel(false);
+        let serving = tokio::spawn(listener::serve(listener, router, admission, stopped));
+        tracing::info!(%address, name = file.name, "the relay listens");
+        Ok(RunningRelay { address, state, stop, serving, tasks })
+    }
+
+    /// Ends held polls at once, and connections as soon as their answers are out.
+    pub async fn stop(mut self) {
+        self.state.stop();
+        self.stop.send_replace(true);
+        let _ = (&mut self.serving).await;
+        self.tasks.shutdown().await;
+        tracing::info!("the relay has stopped");
+    }
+}
+
+impl Drop for RunningRelay {
+    fn drop(&mut self) {
+        self.serving.abort();
+    }
+}
+
+fn start_tasks(file: &RelayFile, state: &Arc<State>) -> JoinSet<()> {
+    let client = HttpClient::new();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(ticker::run(state.clone()));
+    for peer in &file.peers {
+        tasks.spawn(peers::follow(state.clone(), peer.clone(), client.clone()));
+    }
+    let incarnation = unix_micros();
+    let settings = subscription_settings(file, incarnation);
+    let subscription = Subscription::new(settings, incarnation, state.clock.now());
+    let upstreams = file.upstreams.clone();
+    tasks.spawn(Follower { state: state.clone(), subscription, upstreams, client }.run());
+    tasks
+}
+
+fn micros(millis: u64) -> Micros {
+    millis.saturating_mul(MILLISECOND)
+}
+
+fn relay_settings(file: &RelayFile) -> RelaySettings {
+    RelaySettings {
+        name: file.name.clone(),
+        peers: file.peers.iter().map(|peer| peer.name.clone()).collect(),
+        batch: micros(file.batch),
+        upstream_hold: micros(file.hold),
+        lease: micros(file.lease),
+        drift: file.drift,
+        keep_purges: micros(file.keep_purges),
+        purge_room: file.purge_room,
+        log_room: file.log_room,
+        sessions: file.sessions,
+        per_address: file.per_address,
+        forget_after: micros(file.forget_after),
+    }
+}
+
+fn subscription_settings(file: &RelayFile, incarnation: u64) -> SubscriptionSettings {
+    let upstreams = file.upstreams.iter().map(SocketAddr::to_string).collect();
+    SubscriptionSettings {
+        // A relay asks its upstreams in the order of its file.
+        preferred: file.upstreams.len(),
+        hold: micros(file.hold),
+        lease: micros(file.lease),
+        drift: file.drift,
+        // Relays tell their age always; who tells none is the bus itself.
+        direct: true,
+        ..SubscriptionSettings::new(&file.name, incarnation, upstreams)
+    }
+}
+
+fn raise_descriptors(needed: usize) -> Result<(), StartError> {
+    let allowed = rlimit::increase_nofile_limit(needed as u64).map_err(StartError::DescriptorLimit)?;
+    if allowed < needed as u64 {
+        return Err(StartError::Descriptors(needed, allowed));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,183 @@
+//! The relay's decisions behind a lock, and the polls that it holds.
+
+use crate::chain::Chain;
+use crate::clock::Clock;
+use sagearch_feed::Micros;
+use sagearch_feed::message::Poll;
+use sagearch_feed::relay::{Relay, Reply, Session};
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, oneshot};
+
+/// A body that is shared by all polls that it answers.
+pub type SharedBody = Arc<[u8]>;
+
+/// How a poll ends.
+#[derive(Debug, PartialEq, Eq)]
+pub enum PollEnd {
+    Answered(SharedBody),
+    /// No room: come back after this time.
+    Busy { retry_after_ms: u64 },
+    /// The query says something that can't be.
+    Bad(String),
+    /// The relay stops: ask another one.
+    Stopping,
+}
+
+/// Counters of this process, beside those of the decisions.
+#[derive(Debug, Default)]
+pub struct Counters {
+    pub answers: AtomicU64,
+    pub answer_bytes: AtomicU64,
+    pub busy: AtomicU64,
+    pub bad: AtomicU64,
+    pub upstream_failures: AtomicU64,
+    pub loops_refused: AtomicU64,
+    pub reports_heard: AtomicU64,
+    pub report_failures: AtomicU64,
+}
+
+/// Adds to a counter; counters need no order among each other.
+pub fn count(counter: &AtomicU64, by: u64) {
+    counter.fetch_add(by, Ordering::Relaxed);
+}
+
+/// What is decided, and who waits for it.
+pub struct Decisions {
+    pub relay: Relay,
+    /// The chain of relays from this one to the bus, and the upstream that it comes from.
+    pub chain: Chain,
+    pub upstream: Option<std::net::SocketAddr>,
+    held: HashMap<Session, oneshot::Sender<PollEnd>>,
+    next_session: Session,
+    /// When the ticker looks next.
+    ticker_at: Micros,
+    stopping: bool,
+}
+
+/// State that all tasks of a relay share.
+pub struct State {
+    pub clock: Clock,
+    pub name: String,
+    pub counters: Counters,
+    decisions: Mutex<Decisions>,
+    /// Wakes the ticker where something is due before `ticker_at`.
+    pub earlier: Notify,
+}
+
+impl State {
+    pub fn new(name: &str, relay: Relay, clock: Clock) -> State {
+        let decisions = Decisions {
+            relay,
+            chain: Chain::of(name),
+            upstream: None,
+            held: HashMap::new(),
+            next_session: 1,
+            ticker_at: Micros::MAX,
+            stopping: false,
+        };
+        State {
+            clock,
+            name: name.to_string(),
+            counters: Counters::default(),
+            decisions: Mutex::new(decisions),
+            earlier: Notify::new(),
+        }
+    }
+
+    /// The decisions, for a short while: nothing waits under this lock.
+    pub fn decisions(&self) -> MutexGuard<'_, Decisions> {
+        self.decisions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Answers a poll, at once or when there is something to tell. Dropping the future gives its place back.
+    pub async fn poll(self: &Arc<Self>, address: IpAddr, poll: Poll) -> PollEnd {
+        let (held, receiver) = match self.begin(address, poll) {
+            Begun::Ended(end) => return end,
+            Begun::Held(held, receiver) => (held, receiver),
+        };
+        let end = receiver.await.unwrap_or(PollEnd::Stopping);
+        drop(held);
+        end
+    }
+
+    fn begin(self: &Arc<Self>, address: IpAddr, poll: Poll) -> Begun {
+        let mut decisions = self.decisions();
+        if decisions.stopping {
+            return Begun::Ended(PollEnd::Stopping);
+        }
+        let session = decisions.next_session;
+        decisions.next_session += 1;
+        let now = self.clock.now();
+        let reply = decisions.relay.poll(now, session, address, poll);
+        let end = match reply {
+            Reply::Held => {
+                let (sender, receiver) = oneshot::channel();
+                decisions.held.insert(session, sender);
+                self.wake_ticker(&decisions, now);
+                return Begun::Held(HeldPoll { state: self.clone(), session }, receiver);
+            }
+            Reply::Now(body) => PollEnd::Answered(body),
+            Reply::Busy { retry_after_ms } => PollEnd::Busy { retry_after_ms },
+            Reply::Bad(cause) => PollEnd::Bad(cause),
+        };
+        decisions.relay.closed(session);
+        Begun::Ended(end)
+    }
+
+    /// Answers what is due, and says when to look again.
+    pub fn tick(&self) -> Micros {
+        let mut decisions = self.decisions();
+        let now = self.clock.now();
+        for (session, body) in decisions.relay.tick(now) {
+            if let Some(sender) = decisions.held.remove(&session) {
+                // Who has gone meanwhile has given its place back itself.
+                let _ = sender.send(PollEnd::Answered(body));
+            }
+        }
+        decisions.ticker_at = decisions.relay.next(now);
+        decisions.ticker_at
+    }
+
+    /// Wakes the ticker where something is due before it would look. Called after each change of the decisions.
+    pub fn wake_ticker(&self, decisions: &Decisions, now: Micros) {
+        if decisions.relay.next(now) < decisions.ticker_at {
+            self.earlier.notify_one();
+        }
+    }
+
+    /// Ends all held polls, and each one that still comes.
+    pub fn stop(&self) {
+        let mut decisions = self.decisions();
+        decisions.stopping = true;
+        for (_, sender) in decisions.held.drain() {
+            let _ = sender.send(PollEnd::Stopping);
+        }
+    }
+
+    /// Polls that are held now.
+    pub fn held(&self) -> usize {
+        self.decisions().held.len()
+    }
+}
+
+enum Begun {
+    Ended(PollEnd),
+    Held(HeldPoll, oneshot::Receiver<PollEnd>),
+}
+
+/// The place of a held poll, given back when it is dropped.
+struct HeldPoll {
+    state: Arc<State>,
+    session: Session,
+}
+
+impl Drop for HeldPoll {
+    fn drop(&mut self) {
+        let mut decisions = self.state.decisions();
+        decisions.held.remove(&self.session);
+        decisions.relay.closed(self.session);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/upstream.rs
@@ -0,0 +1,136 @@
+//! Follows the event bus or another relay by one long poll.
+
+use crate::chain::Chain;
+use crate::client::{Answered, CallError, HttpClient};
+use crate::state::{State, count};
+use http::StatusCode;
+use sagearch_feed::Micros;
+use sagearch_feed::message::{Answer, Poll};
+use sagearch_feed::subscription::{Failure, Step, Subscription};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a poll brought nothing.
+#[derive(Debug, Error)]
+enum PollError {
+    #[error("no answer in time")]
+    Silent,
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("the answer can't be used: {0}")]
+    Unusable(String),
+    #[error("{0}")]
+    Loop(#[from] crate::chain::ChainError),
+}
+
+impl PollError {
+    fn failure(&self) -> Failure {
+        match self {
+            PollError::Silent => Failure::Silent,
+            PollError::Call(CallError::Unreachable(_)) => Failure::Unreachable,
+            PollError::Call(CallError::Lost(_)) => Failure::Lost,
+            PollError::Call(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE, retry_after }) => {
+                Failure::Refused { retry_after: *retry_after }
+            }
+            other => Failure::Unusable(other.to_string()),
+        }
+    }
+}
+
+/// A whole answer of an upstream.
+struct UpstreamAnswer {
+    answer: Answer,
+    chain: Chain,
+}
+
+/// The relay's own place as a subscriber.
+pub struct Follower {
+    pub state: Arc<State>,
+    pub subscription: Subscription,
+    pub upstreams: Vec<SocketAddr>,
+    pub client: HttpClient,
+}
+
+impl Follower {
+    /// Polls for as long as the relay runs.
+    pub async fn run(mut self) {
+        // A trouble is logged once, not once a try.
+        let mut trouble: Option<String> = None;
+        loop {
+            match self.subscription.next(self.state.clock.now()) {
+                Step::Wait { until } => tokio::time::sleep_until(self.state.clock.instant(until)).await,
+                Step::Poll { relay, poll, give_up_after } => {
+                    let upstream = self.upstreams[relay];
+                    let result = self.poll(upstream, &poll, give_up_after).await;
+                    log_change(upstream, &result, &mut trouble);
+                }
+            }
+        }
+    }
+
+    /// One poll, and what it brings is in force when this returns.
+    async fn poll(
+        &mut self,
+        upstream: SocketAddr,
+        poll: &Poll,
+        give_up_after: Micros,
+    ) -> Result<(), PollError> {
+        let sent = self.state.clock.now();
+        let taken = match self.ask(upstream, poll, give_up_after).await {
+            Ok(answered) => self.take(upstream, sent, answered),
+            Err(error) => {
+                self.subscription.failed(self.state.clock.now(), error.failure());
+                Err(error)
+            }
+        };
+        if let Err(error) = &taken {
+            let counters = &self.state.counters;
+            count(&counters.upstream_failures, 1);
+            if matches!(error, PollError::Loop(_)) {
+                count(&counters.loops_refused, 1);
+            }
+        }
+        taken
+    }
+
+    async fn ask(
+        &self,
+        upstream: SocketAddr,
+        poll: &Poll,
+        give_up_after: Micros,
+    ) -> Result<UpstreamAnswer, PollError> {
+        let path = poll.path();
+        let call = self.client.get(upstream, &path);
+        let Answered { body, chain } = tokio::time::timeout(Duration::from_micros(give_up_after), call)
+            .await
+            .map_err(|_| PollError::Silent)??;
+        let chain = chain.followed_by(&self.state.name)?;
+        let answer = serde_json::from_slice(&body).map_err(|e| PollError::Unusable(e.to_string()))?;
+        Ok(UpstreamAnswer { answer, chain })
+    }
+
+    /// Takes an answer in: from here on it is told to subscribers, and acknowledged with the next poll.
+    fn take(&mut self, upstream: SocketAddr, sent: Micros, answered: UpstreamAnswer) -> Result<(), PollError> {
+        todo!()
+    }
+}
+
+/// Logs the first of several failures, and the first success after them.
+fn log_change(upstream: SocketAddr, result: &Result<(), PollError>, trouble: &mut Option<String>) {
+    match result {
+        Ok(()) => {
+            if trouble.take().is_some() {
+                tracing::info!(%upstream, "the upstream answers again");
+            }
+        }
+        Err(error) => {
+            let cause = error.to_string();
+            if trouble.as_ref() != Some(&cause) {
+                tracing::warn!(%upstream, cause, "the upstream brings nothing");
+                *trouble = Some(cause);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/acknowledgements.rs
@@ -0,0 +1,169 @@
+//! What is done everywhere: acknowledgements, reports of peers, wait and forget.
+
+mod stand;
+
+use serde_json::{Value, json};
+use stand::{Bus, Subscriber, file_with, free_address, get_json, relay_file, request, start, until};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// A lease so long that only acknowledgements make an offset done.
+const LONG_LEASE: &str = "lease=\"30s\"";
+
+async fn wait(relay: SocketAddr, offset: u64, within_ms: u64) -> Value {
+    get_json(relay, &format!("/feed/wait?offset={offset}&within_ms={within_ms}")).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn wait_says_done_only_when_it_is_acknowledged() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], LONG_LEASE));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    gateway.poll(0).await.unwrap();
+
+    let offset = bus.purge(1);
+    // Told, and not yet in force.
+    until("the purge has been told", async || {
+        gateway.ask(100).await.is_ok_and(|answer| answer["offset"] == offset)
+    })
+    .await;
+    let answer = wait(relay.address, offset, 300).await;
+    assert_eq!((&answer["done"], &answer["watermark"]), (&json!(false), &json!(1)), "{answer}");
+
+    gateway.from = offset;
+    gateway.poll(0).await.unwrap();
+    let answer = wait(relay.address, offset, 10_000).await;
+    assert_eq!(answer["done"], true, "{answer}");
+    assert!(answer["took_ms"].as_f64().unwrap() > 300.0, "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_offset_that_is_not_known_is_not_done() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    assert_eq!(wait(relay.address, 1_000, 200).await["done"], false);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_subscriber_that_falls_silent_holds_the_watermark_no_longer_than_its_lease() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "lease=\"1s\""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    gateway.poll(0).await.unwrap();
+    let offset = bus.purge(1);
+    until("the relay has it", async || {
+        get_json(relay.address, "/feed/status").await["offset"] == offset
+    })
+    .await;
+    let answer = wait(relay.address, offset, 10_000).await;
+    assert_eq!(answer["done"], true, "{answer}");
+    assert!(answer["took_ms"].as_f64().unwrap() >= 1_000.0, "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_subscriber_of_a_peer_counts_and_so_does_a_peer_that_is_silent() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let (one, other) = (free_address(), free_address());
+    let first = start(&file_with("r1", one, &[bus.address], &[("r2", other)], LONG_LEASE));
+    let second = start(&file_with("r2", other, &[bus.address], &[("r1", one)], LONG_LEASE));
+    let mut gateway = Subscriber::new(other, "g2");
+    gateway.catch_up(1).await;
+    gateway.poll(0).await.unwrap();
+    until("the peer's subscriber is known", async || {
+        get_json(one, "/feed/status").await["subscribers"].to_string().contains("g2")
+    })
+    .await;
+
+    let offset = bus.purge(1);
+    until("the relay has it", async || get_json(one, "/feed/status").await["offset"] == offset).await;
+    assert_eq!(wait(one, offset, 1_500).await["done"], false, "the peer's gateway has not acknowledged it");
+    gateway.catch_up(offset).await;
+    gateway.poll(0).await.unwrap();
+    let answer = wait(one, offset, 10_000).await;
+    assert_eq!(answer["done"], true, "{answer}");
+
+    second.stop().await;
+    let offset = bus.purge(2);
+    until("the relay has it", async || get_json(one, "/feed/status").await["offset"] == offset).await;
+    assert_eq!(wait(one, offset, 1_500).await["done"], false, "the peer has not reported");
+    first.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_is_forgotten_no_longer_holds_the_watermark() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], LONG_LEASE));
+    let mut gone = Subscriber::new(relay.address, "gone 1");
+    gone.name = "gone%201".into();
+    gone.catch_up(1).await;
+    gone.poll(0).await.unwrap();
+    let mut stays = Subscriber::new(relay.address, "stays");
+    let offset = bus.purge(1);
+    stays.catch_up(offset).await;
+    stays.poll(0).await.unwrap();
+    assert_eq!(wait(relay.address, offset, 200).await["done"], false);
+    let status = get_json(relay.address, &format!("/feed/status?offset={offset}")).await;
+    assert_eq!(status["behind"], json!(["gone 1"]), "{status}");
+
+    let answer = request(relay.address, "POST", "/feed/forget?name=gone%201").await;
+    assert!(answer.contains("\"forgotten\":true"), "{answer}");
+    let answer = request(relay.address, "POST", "/feed/forget?name=gone%201").await;
+    assert!(answer.contains("\"forgotten\":false"), "{answer}");
+    assert_eq!(wait(relay.address, offset, 5_000).await["done"], true);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn waits_are_bounded() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "per-address=200"));
+    let mut waits = tokio::task::JoinSet::new();
+    let address = relay.address;
+    for _ in 0..80 {
+        waits.spawn(async move { request(address, "GET", "/feed/wait?offset=9&within_ms=2000").await });
+    }
+    let answers = waits.join_all().await;
+    let refused = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 503")).count();
+    let served = answers.iter().filter(|answer| answer.starts_with("HTTP/1.1 200")).count();
+    assert_eq!((served, refused), (64, 16));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_and_metrics_tell_what_has_been() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    let offset = bus.purge(1);
+    gateway.catch_up(offset).await;
+    let began = Instant::now();
+    gateway.poll(0).await.unwrap();
+    let status = get_json(relay.address, "/feed/status").await;
+    assert_eq!(status["relay"], "r1");
+    assert_eq!(status["feed"], "feed-a");
+    assert_eq!(status["offset"], offset);
+    assert_eq!(status["watermark"], offset);
+    assert_eq!(status["upstream"], bus.address.to_string());
+    assert!(status["age_ms"].as_f64().unwrap() < 1_700.0, "{status}");
+    assert!(status["process"]["resident_bytes"].as_u64().unwrap() > 100_000);
+    assert!(began.elapsed() < Duration::from_secs(5));
+
+    let metrics = request(relay.address, "GET", "/metrics").await;
+    for line in [
+        &format!("sagearch_relay_offset {offset}"),
+        &format!("sagearch_relay_watermark {offset}"),
+        "sagearch_relay_subscribers 1",
+        "sagearch_relay_held 0",
+        "sagearch_relay_in_doubt 0",
+    ] {
+        assert!(metrics.lines().any(|told| told == line), "{line} is not in {metrics}");
+    }
+    for name in ["answers_total", "answer_bytes_total", "batches_total", "age_seconds", "processor_seconds_total"] {
+        let prefix = format!("sagearch_relay_{name} ");
+        let value = metrics.lines().find_map(|line| line.strip_prefix(&prefix)).expect(name);
+        assert!(value.parse::<f64>().unwrap() >= 0.0);
+    }
+    assert!(metrics.trim_end().ends_with("# EOF"));
+}
--- /dev/null
+++ b/crates/relay/tests/events.rs
@@ -0,0 +1,225 @@
+//! Events on their way through a relay: unchanged, in time, and whole for whoever comes late.
+
+mod stand;
+
+use sagearch_relay::client::CallError;
+use serde_json::json;
+use stand::{Bus, Mode, Subscriber, events, file_with, free_address, get_json, relay_file, start, until};
+use std::time::{Duration, Instant};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn events_pass_on_unchanged_with_their_offsets_and_the_feeds_identity() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    assert_eq!(gateway.feed.as_deref(), Some("feed-a"));
+
+    bus.publish(json!({"ban": {"url": "/a", "ts": 7, "why": ["news", 1]}, "later": {"word": 1.5}}));
+    bus.publish(json!({"quota": {"of": "another kind"}}));
+    bus.publish(json!({"topology": {"generation": 9, "reset": false, "new": true, "instances": []}}));
+    let last = bus.publish(json!({"ban": {"tag": "no number", "ts": "never"}}));
+    let answers = gateway.catch_up(last).await;
+    assert_eq!(events(&answers), bus.events_after(1));
+    assert!(answers.iter().all(|answer| answer["feed"] == "feed-a" && answer["snapshot"].is_null()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_behind_a_relay_passes_on_the_same_and_its_age_is_greater() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let near = start(&relay_file("near", &[bus.address], ""));
+    let far = start(&relay_file("far", &[near.address], ""));
+    let last = bus.purge(5);
+    let mut gateway = Subscriber::new(far.address, "g1");
+    gateway.catch_up(last).await;
+    assert_eq!(gateway.feed.as_deref(), Some("feed-a"));
+
+    let next = bus.drain("store-1");
+    assert_eq!(events(&gateway.catch_up(next).await), bus.events_after(last));
+    let status = get_json(far.address, "/feed/status").await;
+    assert_eq!(status["chain"], json!(["far", "near"]));
+    let age = status["age_ms"].as_f64().unwrap();
+    assert!(age < 1_700.0, "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_list_is_not_delayed_behind_purges() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "batch=\"1s\""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    // The first purge may begin a batch at once; the second one waits in it.
+    let first = bus.purge(1);
+    gateway.catch_up(first).await;
+
+    let began = Instant::now();
+    let purge = bus.purge(2);
+    gateway.catch_up(purge).await;
+    let alone = began.elapsed();
+    assert!(alone > Duration::from_millis(400), "the purge alone came after {alone:?}: it was not held back");
+
+    bus.purge(3);
+    let began = Instant::now();
+    let list = bus.drain("store-1");
+    let answers = gateway.catch_up(list).await;
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(400), "the list came after {took:?}");
+    assert_eq!(events(&answers), bus.events_after(purge));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn many_purges_make_few_answers() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+
+    let publisher = bus.clone();
+    let began = Instant::now();
+    let publishing = tokio::spawn(async move {
+        let mut every = tokio::time::interval(Duration::from_millis(5));
+        for tag in 0..400 {
+            every.tick().await;
+            publisher.purge(tag);
+        }
+    });
+    let mut answers = Vec::new();
+    while gateway.from < 401 {
+        answers.push(gateway.poll(1_000).await.unwrap());
+        assert!(began.elapsed() < stand::PATIENCE, "{} of 401 events", gateway.from);
+    }
+    let took = began.elapsed();
+    publishing.await.unwrap();
+    assert_eq!(events(&answers), bus.events_after(1));
+    // Ten a second, and one each for the first and the last.
+    let most = took.as_secs_f64() * 10.0 + 2.0;
+    assert!(answers.len() as f64 <= most, "{} answers in {took:?}", answers.len());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_is_too_late_for_the_log_gets_a_snapshot() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "log-room=16"));
+    let mut late = Subscriber::new(relay.address, "late");
+    late.catch_up(1).await;
+    let mut early = Subscriber::new(relay.address, "early");
+    for tag in 0..100 {
+        bus.purge(tag);
+    }
+    bus.drain("store-1");
+    let last = bus.purge(100);
+    early.catch_up(last).await;
+
+    let answer = late.poll(0).await.unwrap();
+    assert_eq!(answer["snapshot"], true, "{answer}");
+    assert_eq!(answer["offset"], last);
+    let batch = answer["batch"].as_array().unwrap();
+    assert_eq!(batch[0]["topology"]["reset"], true);
+    assert_eq!(batch[0]["topology"]["instances"][0]["lifecycle"], "draining");
+    let tags: Vec<u64> = batch[1..].iter().map(|event| event["ban"]["tag"].as_u64().unwrap()).collect();
+    assert_eq!(tags, (0..=100).collect::<Vec<u64>>());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_starts_with_nothing_serves_who_was_there_before() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let listen = free_address();
+    let file = file_with("r1", listen, &[bus.address], &[], "");
+    let relay = start(&file);
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    let before = bus.purge(1);
+    gateway.catch_up(before).await;
+    relay.stop().await;
+
+    bus.mode(Mode::Failing);
+    let relay = start(&file);
+    let refused = gateway.ask(0).await;
+    assert!(
+        matches!(refused, Err(CallError::Refused { status, retry_after: Some(_) }) if status == 503),
+        "a relay that knows nothing says so"
+    );
+    bus.mode(Mode::Answering);
+    let after = bus.purge(2);
+    let answers = gateway.catch_up(after).await;
+    let told = events(&answers);
+    assert!(told.iter().any(|event| event["ban"]["tag"] == 2), "{told:?}");
+    relay.stop().await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bus_that_numbers_anew_is_followed_by_a_snapshot() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    for tag in 0..10 {
+        bus.purge(tag);
+    }
+    gateway.catch_up(bus.last()).await;
+
+    bus.begin_anew(Some("feed-b"));
+    let last = bus.purge(77);
+    until("the new numbering", async || {
+        let answer = gateway.ask(100).await;
+        answer.is_ok_and(|answer| answer["feed"] == "feed-b")
+    })
+    .await;
+    let answer = gateway.poll(100).await.unwrap();
+    assert_eq!((&answer["snapshot"], &answer["offset"]), (&json!(true), &json!(last)), "{answer}");
+    assert!(events(&[answer]).iter().any(|event| event["ban"]["tag"] == 77));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_goes_back_proves_no_freshness() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    for tag in 0..10 {
+        bus.purge(tag);
+    }
+    gateway.catch_up(11).await;
+
+    bus.begin_anew(Some("feed-a"));
+    until("an age over the lease", async || {
+        let status = get_json(relay.address, "/feed/status").await;
+        assert_eq!(status["offset"], 11, "{status}");
+        status["age_ms"].as_f64().unwrap() > 2_500.0
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_that_follow_each_other_are_found_out() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let (one, other) = (free_address(), free_address());
+    let first = start(&file_with("r1", one, &[bus.address, other], &[], ""));
+    let second = start(&file_with("r2", other, &[bus.address, one], &[], ""));
+    let last = bus.purge(1);
+    for relay in [one, other] {
+        Subscriber::new(relay, "g1").catch_up(last).await;
+    }
+
+    bus.mode(Mode::Failing);
+    let ages = async || {
+        let mut ages = Vec::new();
+        let mut refused = 0;
+        for relay in [one, other] {
+            let status = get_json(relay, "/feed/status").await;
+            ages.push(status["age_ms"].as_f64().unwrap());
+            refused += status["counters"]["loops_refused"].as_u64().unwrap();
+        }
+        (ages, refused)
+    };
+    until("a refused loop, and ages over the lease", async || {
+        let (ages, refused) = ages().await;
+        refused > 0 && ages.iter().all(|age| *age > 2_500.0)
+    })
+    .await;
+
+    bus.mode(Mode::Answering);
+    let next = bus.purge(2);
+    for relay in [one, other] {
+        Subscriber::new(relay, "g1").catch_up(next).await;
+    }
+    first.stop().await;
+    second.stop().await;
+}
--- /dev/null
+++ b/crates/relay/tests/limits.rs
@@ -0,0 +1,227 @@
+//! Bad input, bounds, and the end of a relay.
+
+mod stand;
+
+use sagearch_relay::client::LONGEST_BODY;
+use serde_json::{Value, json};
+use stand::{
+    Bus, Mode, Subscriber, connect_from, get_json, raw, relay_file, request, start, start_broken, until,
+};
+use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+
+/// Status and body of an answer's text.
+fn parts(answer: &str) -> (&str, &str) {
+    let status = answer.split(' ').nth(1).unwrap_or_default();
+    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    (status, body)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_query_is_told_what_is_wrong_and_where() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    let long = "x".repeat(2_000);
+    let cases = [
+        ("/bus/read", "`from` is missing"),
+        ("/bus/read?hold=100", "`from` is missing"),
+        ("/bus/read?from=-1", "byte 5: not a whole number"),
+        ("/bus/read?from=99999999999999999999", "byte 5: not a whole number"),
+        ("/bus/read?from=1&hold=soon", "byte 12: not a whole number"),
+        ("/bus/read?from=1&from=2", "byte 7: given twice"),
+        ("/bus/read?from=1&feed=a/b", "byte 12: not an identity"),
+        ("/bus/read?from=1&name=g1", "only given together"),
+        ("/bus/read?from=1&name=%zz&incarnation=1", "not a name"),
+        (&format!("/bus/read?from=1&other={long}"), "longer than 1024 bytes"),
+        ("/feed/wait?offset=1", "within_ms"),
+        ("/feed/wait?offset=x&within_ms=1", "offset"),
+        ("/feed/wait?offset=1&within_ms=3600000", "within_ms is over 60000"),
+        ("/feed/status?offset=x", "offset"),
+    ];
+    for (path, cause) in cases {
+        let answer = request(relay.address, "GET", path).await;
+        let (status, body) = parts(&answer);
+        assert_eq!(status, "400", "{path}: {answer}");
+        assert!(body.contains(cause), "{path}: {body}");
+    }
+    for (method, path, status) in
+        [("GET", "/feed/forget?name=g1", "405"), ("POST", "/feed/forget", "400"), ("GET", "/bus", "404")]
+    {
+        let answer = request(relay.address, method, path).await;
+        assert_eq!(parts(&answer).0, status, "{method} {path}: {answer}");
+    }
+    let status = get_json(relay.address, "/feed/status").await;
+    assert_eq!(status["counters"]["bad"], 10, "{status}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_words_are_ignored_and_a_huge_offset_is_no_trouble() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    let answer = get_json(relay.address, "/bus/read?from=0&hold=0&colour=red&x").await;
+    assert_eq!(answer["offset"], 1, "{answer}");
+
+    let ahead = format!("/bus/read?from={}&hold=50&feed=feed-a", u64::MAX);
+    let began = Instant::now();
+    let answer = get_json(relay.address, &ahead).await;
+    assert!(began.elapsed() >= Duration::from_millis(50), "a poll that is ahead is held");
+    assert_eq!((&answer["offset"], &answer["batch"]), (&json!(1), &json!([])), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_head_over_8_kb_is_refused() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let head = |length: usize| format!("GET /feed/status HTTP/1.1\r\nX: {}\r\n\r\n", "y".repeat(length));
+    let mut stream = TcpStream::connect(relay.address).await.unwrap();
+    let answer = raw(&mut stream, &head(9_000)).await;
+    assert_eq!(parts(&answer).0, "431", "{answer}");
+
+    let mut stream = TcpStream::connect(relay.address).await.unwrap();
+    let answer = raw(&mut stream, &head(7_000)).await;
+    assert_eq!(parts(&answer).0, "200", "{answer}");
+
+    let mut stream = TcpStream::connect(relay.address).await.unwrap();
+    let answer = raw(&mut stream, "no HTTP at all\r\n\r\n").await;
+    assert_eq!(parts(&answer).0, "400", "{answer}");
+}
+
+/// What a broken upstream answers, and what the relay's log and status tell of it.
+async fn stays_empty_after(answer: Vec<u8>) -> Value {
+    let broken = start_broken(answer).await;
+    let bus = Bus::start(Some("feed-a")).await;
+    bus.mode(Mode::Failing);
+    let relay = start(&relay_file("r1", &[broken, bus.address], ""));
+    until("three failures", async || {
+        get_json(relay.address, "/feed/status").await["counters"]["upstream_failures"].as_u64().unwrap() >= 3
+    })
+    .await;
+    let status = get_json(relay.address, "/feed/status").await;
+    assert_eq!(status["offset"], 0, "{status}");
+
+    // The next upstream serves on.
+    bus.mode(Mode::Answering);
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    status
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstreams_broken_answers_bring_nothing() {
+    let whole = json!({"offset": 1, "feed": "feed-x", "batch": [{"offset": 1, "ban": {"tag": 1, "ts": 1}}]}).to_string();
+    let head = |length: usize| format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    let cut = format!("{}{whole}", head(whole.len() + 10));
+    let no_json = format!("{}{}", head(20), "{\"offset\":1,\"batch\":");
+    let no_offset = format!("{}{}", head(12), "{\"batch\":[]}");
+    let bad_feed = r#"{"offset":1,"feed":"a b","batch":[]}"#;
+    let bad_feed = format!("{}{bad_feed}", head(bad_feed.len()));
+    let looped = format!("HTTP/1.1 200 OK\r\nFeed-Via: r0, r1\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+    for answer in [cut, no_json, no_offset, bad_feed, looped, "HTTP/1.1 200".into(), "nothing known\r\n\r\n".into()] {
+        stays_empty_after(answer.into_bytes()).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstreams_answer_that_is_too_long_brings_nothing() {
+    let length = LONGEST_BODY + 1;
+    let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n").into_bytes();
+    // Its JSON would be read, were it not for its length.
+    answer.extend_from_slice(br#"{"offset":1,"feed":"feed-x","batch":[]}"#);
+    answer.resize(answer.len() + length, b' ');
+    stays_empty_after(answer).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_upstream_is_given_up_and_the_next_one_asked() {
+    let silent = Bus::start(Some("feed-a")).await;
+    silent.mode(Mode::Silent);
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[silent.address, bus.address], ""));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    assert!(silent.polls() > 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_thousand_connections_of_one_address_leave_room_for_others() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "per-address=64 sessions=200"));
+    let mut other = Subscriber::new(relay.address, "g1");
+    other.catch_up(1).await;
+    drop(other);
+
+    let mut open = Vec::new();
+    for _ in 0..1_000 {
+        open.push(connect_from("127.0.0.2", relay.address).await);
+    }
+    until("64 connections served", async || {
+        get_json(relay.address, "/feed/status").await["connections"].as_u64().unwrap() >= 64
+    })
+    .await;
+    let status = get_json(relay.address, "/feed/status").await;
+    let connections = status["connections"].as_u64().unwrap();
+    assert!((64..64 + 10).contains(&connections), "{connections} connections are served");
+
+    let began = Instant::now();
+    let mut stream = connect_from("127.0.0.3", relay.address).await;
+    let answer = raw(&mut stream, "GET /bus/read?from=0&hold=0 HTTP/1.1\r\nConnection: close\r\n\r\n").await;
+    assert_eq!(parts(&answer).0, "200", "{answer}");
+    assert!(began.elapsed() < Duration::from_secs(1), "another address waited {:?}", began.elapsed());
+
+    // One more of the first address is told when to come back, once those being refused have gone.
+    until("a refusal with a time", async || {
+        let mut stream = connect_from("127.0.0.2", relay.address).await;
+        let answer = raw(&mut stream, "GET /bus/read?from=0&hold=0 HTTP/1.1\r\n\r\n").await;
+        assert_ne!(parts(&answer).0, "200", "{answer}");
+        parts(&answer).0 == "503" && answer.contains("Retry-After: 1\r\n")
+    })
+    .await;
+
+    // And served again as soon as the others have closed.
+    drop(open);
+    until("a place after the others have closed", async || {
+        let mut stream = connect_from("127.0.0.2", relay.address).await;
+        let answer = raw(&mut stream, "GET /bus/read?from=0&hold=0 HTTP/1.1\r\nConnection: close\r\n\r\n").await;
+        parts(&answer).0 == "200"
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn who_goes_away_while_held_gives_its_place_back() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "sessions=20"));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    for _ in 0..5 {
+        let mut streams = Vec::new();
+        for _ in 0..10 {
+            let mut stream = TcpStream::connect(relay.address).await.unwrap();
+            let poll = b"GET /bus/read?from=1&hold=20000&feed=feed-a HTTP/1.1\r\nHost: r\r\n\r\n";
+            tokio::io::AsyncWriteExt::write_all(&mut stream, poll).await.unwrap();
+            streams.push(stream);
+        }
+        let held = async || get_json(relay.address, "/feed/status").await["held"].as_u64().unwrap();
+        until("ten held polls", async || held().await == 10).await;
+        drop(streams);
+        until("no held poll", async || held().await == 0).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_stops_answers_held_polls_at_once() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], ""));
+    let mut gateway = Subscriber::new(relay.address, "g1");
+    gateway.catch_up(1).await;
+    let address = relay.address;
+    let polling = tokio::spawn(async move { gateway.ask(20_000).await });
+    until("a held poll", async || get_json(address, "/feed/status").await["held"] == 1).await;
+
+    let began = Instant::now();
+    relay.stop().await;
+    let end = polling.await.unwrap();
+    assert!(began.elapsed() < Duration::from_secs(2), "the stop took {:?}", began.elapsed());
+    let refused = end.expect_err("a relay that stops has no news").to_string();
+    assert!(refused.contains("503"), "{refused}");
+    assert!(TcpStream::connect(address).await.is_err(), "it still listens");
+}
--- /dev/null
+++ b/crates/relay/tests/program.rs
@@ -0,0 +1,104 @@
+//! The program itself: its file, its signals, its exit codes.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// A folder that goes with the test.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("sagearch-relay-{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        Folder(folder)
+    }
+
+    fn file(&self, text: &str) -> PathBuf {
+        let file = self.0.join("relay.kdl");
+        std::fs::write(&file, text).unwrap();
+        file
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process that ends with the test.
+struct Process(Child);
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+fn command() -> Command {
+    Command::new(env!("CARGO_BIN_EXE_sagearch-relay"))
+}
+
+#[test]
+fn a_file_with_faults_is_told_with_their_places_and_exit_code_2() {
+    let folder = Folder::new("faults");
+    let file = folder.file("relay \"r1\" listen=\"127.0.0.1:0\" batch=5 {\n    upstrem \"127.0.0.1:1\"\n}\n");
+    for call in ["serve", "check"] {
+        let output = command().arg(call).arg(&file).output().unwrap();
+        assert_eq!(output.status.code(), Some(2));
+        let told = String::from_utf8(output.stderr).unwrap();
+        let place = file.to_string_lossy();
+        assert!(told.contains(&format!("{place}:1:34: batch is a time without its unit")), "{told}");
+        assert!(told.contains(&format!("{place}:2:5: \"upstrem\" is not known here; \"upstream\" is")), "{told}");
+    }
+    let output = command().arg("serve").arg(folder.0.join("none.kdl")).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains("none.kdl"));
+}
+
+#[test]
+fn an_address_in_use_is_told_with_exit_code_2() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new("taken");
+    let address = taken.local_addr().unwrap();
+    let file = folder.file(&format!("relay \"r1\" listen=\"{address}\" {{\n    upstream \"127.0.0.1:1\"\n}}\n"));
+    let output = command().arg("serve").arg(&file).output().unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8(output.stderr).unwrap().contains(&format!("{address}: Address already in use")));
+}
+
+#[test]
+fn it_serves_until_sigterm_and_ends_with_exit_code_0() {
+    let folder = Folder::new("serves");
+    let file = folder.file("relay \"r1\" listen=\"127.0.0.1:0\" {\n    upstream \"127.0.0.1:1\"\n}\n");
+    let mut child = Process(
+        command().arg("serve").arg(&file).arg("--log-json").stderr(Stdio::piped()).spawn().unwrap(),
+    );
+    let mut log = BufReader::new(child.0.stderr.take().unwrap());
+    let address = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended");
+        let line: serde_json::Value = serde_json::from_str(&line).unwrap();
+        if let Some(address) = line["fields"]["address"].as_str() {
+            break address.to_string();
+        }
+    };
+    let mut stream = TcpStream::connect(&address).unwrap();
+    stream.write_all(b"GET /feed/status HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n").unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+
+    // An idle connection does not keep it.
+    let _idle = TcpStream::connect(&address).unwrap();
+    let began = Instant::now();
+    let killed = Command::new("kill").args(["-TERM", &child.0.id().to_string()]).status().unwrap();
+    assert!(killed.success());
+    let status = child.0.wait().unwrap();
+    assert_eq!(status.code(), Some(0));
+    assert!(began.elapsed() < Duration::from_secs(5), "the end took {:?}", began.elapsed());
+}
