--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,7 +7,7 @@
 //! - [`listener`], [`admission`], [`routes`]: connections, who is let in, and the HTTP calls
 //! - [`state`]: the decisions behind a lock, and the polls that are held; [`ticker`] answers them when they are due
 //! - [`peers`]: reports from other relays
-//! - [`metrics`], [`process`]: what operators see
+//! - [`status`], [`metrics`], [`process`]: what operators see
 //! - [`running`] puts them together
 
 pub mod admission;
@@ -21,6 +21,7 @@
 pub mod routes;
 pub mod running;
 pub mod state;
+pub mod status;
 pub mod ticker;
 pub mod upstream;
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -31,7 +31,10 @@
 pub struct Counters {
     pub answers: AtomicU64,
     pub answer_bytes: AtomicU64,
+    pub batches: AtomicU64,
+    pub snapshots: AtomicU64,
     pub busy: AtomicU64,
+    pub refused_connections: AtomicU64,
     pub bad: AtomicU64,
     pub upstream_failures: AtomicU64,
     pub loops_refused: AtomicU64,
