--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -6,6 +6,9 @@
 
 /// Connections that are told 503 at one time; beyond, a connection is closed without an answer.
 const LOBBY: usize = 256;
+/// Those refused are told to come back after this, and up to this much later, one after the other.
+const SHORTEST_RETRY_MS: u64 = 100;
+const RETRY_SPREAD_MS: u64 = 900;
 
 /// Bounds on connections.
 #[derive(Clone, Copy, Debug)]
@@ -18,6 +21,7 @@
 struct Counts {
     admitted: usize,
     lobby: usize,
+    refused: u64,
     by_address: HashMap<IpAddr, usize>,
 }
 
@@ -45,6 +49,8 @@
 /// The place of a connection that is being refused.
 pub struct LobbyPlace {
     admission: Arc<Admission>,
+    /// When to come back.
+    pub retry_after_ms: u64,
 }
 
 impl Admission {
@@ -67,9 +73,11 @@
             counts.by_address.insert(address, of_address + 1);
             return Admitted::Served(Place { admission: self.clone(), address });
         }
+        counts.refused += 1;
         if counts.lobby < LOBBY {
             counts.lobby += 1;
-            return Admitted::Refused(LobbyPlace { admission: self.clone() });
+            let retry_after_ms = SHORTEST_RETRY_MS + counts.refused % RETRY_SPREAD_MS;
+            return Admitted::Refused(LobbyPlace { admission: self.clone(), retry_after_ms });
         }
         Admitted::Dropped
     }
@@ -79,6 +87,11 @@
         self.counts().admitted
     }
 
+    /// Connections that found no place, since the start.
+    pub fn refused(&self) -> u64 {
+        self.counts().refused
+    }
+
     fn counts(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -30,8 +30,7 @@
 const STOPPED_WITHIN: Duration = Duration::from_secs(2);
 /// The pause after an accept that failed, for want of descriptors for example.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
-const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nRetry-After-Ms: 500\r\n\
-    Content-Type: text/plain\r\nContent-Length: 21\r\nConnection: close\r\n\r\ntoo many connections\n";
+const REFUSAL_TEXT: &str = "too many connections\n";
 
 /// Listens on an address.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
@@ -111,7 +110,7 @@
 /// Answers 503, and reads until the other side closes: a close with bytes unread would discard the answer.
 async fn refuse(mut stream: TcpStream, place: LobbyPlace) {
     let refusal = async {
-        stream.write_all(REFUSAL).await?;
+        stream.write_all(refusal_answer(place.retry_after_ms).as_bytes()).await?;
         stream.shutdown().await?;
         let mut unread = [0; 1_024];
         while stream.read(&mut unread).await? > 0 {}
@@ -121,3 +120,12 @@
     let _ = tokio::time::timeout(REFUSED_WITHIN, refusal).await;
     drop(place);
 }
+
+fn refusal_answer(retry_after_ms: u64) -> String {
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {}\r\nRetry-After-Ms: {retry_after_ms}\r\n\
+         Content-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{REFUSAL_TEXT}",
+        retry_after_ms.div_ceil(1_000),
+        REFUSAL_TEXT.len(),
+    )
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -52,8 +52,7 @@
     let counters = &status.counters;
     counter("answers", "Polls answered 200", counters.answers);
     counter("answer_bytes", "Bytes of their bodies", counters.answer_bytes);
-    counter("batches", "Flushes that answered held polls", counters.batches);
-    counter("snapshots", "Answers that held the whole state", counters.snapshots);
+    counter("bodies", "Bodies made for held polls, each shared by all that are as far", counters.bodies);
     counter("busy", "Polls answered 503", counters.busy);
     counter("refused_connections", "Connections that found no place", counters.refused_connections);
     counter("bad", "Polls answered 400", counters.bad);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::client::HttpClient;
 use crate::state::{State, count};
-use sagearch_feed::relay::Report;
+use sagearch_feed::relay::report::Report;
 use sagearch_operators::relay::Peer;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,7 +33,7 @@
     let mut trouble: Option<String> = None;
     loop {
         every.tick().await;
-        let heard = ask(&peer, &client).await.map(|report| hear(&state, &peer, report));
+        let heard = ask(&peer, &client).await.map(|report| hear(&state, &peer, &report));
         log_change(&state, &peer, heard, &mut trouble);
     }
 }
@@ -49,7 +49,7 @@
     }
 }
 
-fn hear(state: &State, peer: &Peer, report: Report) {
+fn hear(state: &State, peer: &Peer, report: &Report) {
     let mut decisions = state.decisions();
     let now = state.clock.now();
     decisions.relay.hear(now, &peer.name, report);
--- a/crates/relay/src/routes.rs
+++ b/crates/relay/src/routes.rs
@@ -1,8 +1,8 @@
 //! The HTTP calls: polls, reports, status, wait, forget and metrics.
 
+use crate::admission::Admission;
 use crate::chain::FEED_VIA;
 use crate::metrics;
-use crate::process::ProcessUsage;
 use crate::state::{PollEnd, SharedBody, State, count};
 use crate::status::RelayStatus;
 use axum::extract::{Extension, Query, RawQuery, State as Shared};
@@ -13,18 +13,20 @@
 use axum::{Router, body::Body};
 use bytes::Bytes;
 use sagearch_feed::message::Poll;
+use sagearch_feed::relay::report::DoneBy;
 use serde::{Deserialize, Serialize};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("retry-after-ms");
 const JSON: HeaderValue = HeaderValue::from_static("application/json");
 /// Calls to `/feed/wait` that are open at once, how long one may be, and how often it looks.
-const MOST_WAITERS: usize = 64;
+const MOST_WAITERS: usize = 16;
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
-const WAIT_LOOKS_EVERY: Duration = Duration::from_millis(10);
+const WAIT_LOOKS_EVERY: Duration = Duration::from_millis(20);
 
 /// Who has opened a connection.
 #[derive(Clone, Copy, Debug)]
@@ -37,12 +39,12 @@
 pub struct Context {
     state: Arc<State>,
     waiters: Arc<Semaphore>,
-    connections: Arc<crate::admission::Admission>,
+    admission: Arc<Admission>,
 }
 
 /// The calls of a relay.
-pub fn router(state: Arc<State>, connections: Arc<crate::admission::Admission>) -> Router {
-    let context = Context { state, waiters: Arc::new(Semaphore::new(MOST_WAITERS)), connections };
+pub fn router(state: Arc<State>, admission: Arc<Admission>) -> Router {
+    let context = Context { state, waiters: Arc::new(Semaphore::new(MOST_WAITERS)), admission };
     Router::new()
         .route("/bus/read", get(read))
         .route("/feed/report", get(report))
@@ -127,7 +129,7 @@
 
 impl Context {
     fn relay_status(&self, offset: Option<u64>) -> RelayStatus {
-        RelayStatus::read(&self.state, self.connections.connections(), ProcessUsage::read(), offset)
+        RelayStatus::read(&self.state, &self.admission, offset)
     }
 }
 
@@ -142,8 +144,9 @@
 struct WaitAnswer {
     done: bool,
     offset: u64,
-    /// From when the relay learned the offset to when it was done everywhere.
-    took_ms: Option<f64>,
+    by: Option<DoneBy>,
+    /// From when the relay learned the offset to when it was seen to be done.
+    took_ms: Option<u64>,
     watermark: u64,
 }
 
@@ -153,19 +156,29 @@
         return bad_request(format!("within_ms is over {}", LONGEST_WAIT.as_millis()));
     }
     let Ok(_place) = context.waiters.try_acquire() else { return busy(1_000) };
-    let until = tokio::time::Instant::now() + within;
-    loop {
-        let answer = context.wait_answer(query.offset);
-        if answer.done || tokio::time::Instant::now() >= until || context.state.stopping() {
-            return Json(answer).into_response();
-        }
+    let until = Instant::now() + within;
+    while !context.done(query.offset) && Instant::now() < until && !context.state.stopping() {
         tokio::time::sleep(WAIT_LOOKS_EVERY).await;
     }
+    Json(context.wait_answer(query.offset)).into_response()
 }
 
 impl Context {
+    fn done(&self, offset: u64) -> bool {
+        self.state.decisions().relay.done(self.state.clock.now(), offset).is_some()
+    }
+
     fn wait_answer(&self, offset: u64) -> WaitAnswer {
-        todo!()
+        let decisions = self.state.decisions();
+        let now = self.state.clock.now();
+        let done = decisions.relay.done(now, offset);
+        WaitAnswer {
+            done: done.is_some(),
+            offset,
+            by: done.map(|done| done.by),
+            took_ms: done.map(|done| done.took_ms),
+            watermark: decisions.relay.status(now).watermark,
+        }
     }
 }
 
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -51,7 +51,7 @@
 
         let clock = Clock::start();
         let relay = Relay::new(relay_settings(file), clock.now());
-        let state = Arc::new(State::new(&file.name, relay, clock));
+        let state = Arc::new(State::new(&file.name, micros(file.lease), relay, clock));
         let tasks = start_tasks(file, &state);
 
         let admission = Admission::new(limits);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -5,10 +5,11 @@
 use sagearch_feed::Micros;
 use sagearch_feed::message::Poll;
 use sagearch_feed::relay::{Relay, Reply, Session};
-use std::collections::HashMap;
-use std::net::IpAddr;
+use axum::http::HeaderValue;
+use std::collections::{HashMap, HashSet};
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use tokio::sync::{Notify, oneshot};
 
 /// A body that is shared by all polls that it answers.
@@ -31,10 +32,9 @@
 pub struct Counters {
     pub answers: AtomicU64,
     pub answer_bytes: AtomicU64,
-    pub batches: AtomicU64,
-    pub snapshots: AtomicU64,
+    /// Bodies made for held polls, each shared by all that are as far.
+    pub bodies: AtomicU64,
     pub busy: AtomicU64,
-    pub refused_connections: AtomicU64,
     pub bad: AtomicU64,
     pub upstream_failures: AtomicU64,
     pub loops_refused: AtomicU64,
@@ -52,11 +52,11 @@
     pub relay: Relay,
     /// The chain of relays from this one to the bus, and the upstream that it comes from.
     pub chain: Chain,
-    pub upstream: Option<std::net::SocketAddr>,
+    pub upstream: Option<SocketAddr>,
     held: HashMap<Session, oneshot::Sender<PollEnd>>,
     next_session: Session,
-    /// When the ticker looks next.
-    ticker_at: Micros,
+    /// When the ticker looks next; `None` if nothing is due.
+    ticker_at: Option<Micros>,
     stopping: bool,
 }
 
@@ -64,28 +64,34 @@
 pub struct State {
     pub clock: Clock,
     pub name: String,
+    pub lease: Micros,
     pub counters: Counters,
     decisions: Mutex<Decisions>,
+    chain_header: RwLock<HeaderValue>,
     /// Wakes the ticker where something is due before `ticker_at`.
     pub earlier: Notify,
 }
 
 impl State {
-    pub fn new(name: &str, relay: Relay, clock: Clock) -> State {
+    pub fn new(name: &str, lease: Micros, relay: Relay, clock: Clock) -> State {
+        let chain = Chain::of(name);
+        let chain_header = HeaderValue::try_from(chain.to_string()).unwrap_or(HeaderValue::from_static(""));
         let decisions = Decisions {
             relay,
-            chain: Chain::of(name),
+            chain,
             upstream: None,
             held: HashMap::new(),
             next_session: 1,
-            ticker_at: Micros::MAX,
+            ticker_at: None,
             stopping: false,
         };
         State {
             clock,
             name: name.to_string(),
+            lease,
             counters: Counters::default(),
             decisions: Mutex::new(decisions),
+            chain_header: RwLock::new(chain_header),
             earlier: Notify::new(),
         }
     }
@@ -114,12 +120,12 @@
         let session = decisions.next_session;
         decisions.next_session += 1;
         let now = self.clock.now();
-        let reply = decisions.relay.poll(now, session, address, poll);
+        let reply = decisions.relay.poll(now, session, address, &poll);
         let end = match reply {
             Reply::Held => {
                 let (sender, receiver) = oneshot::channel();
                 decisions.held.insert(session, sender);
-                self.wake_ticker(&decisions, now);
+                self.wake_ticker(&decisions);
                 return Begun::Held(HeldPoll { state: self.clone(), session }, receiver);
             }
             Reply::Now(body) => PollEnd::Answered(body),
@@ -130,23 +136,26 @@
         Begun::Ended(end)
     }
 
-    /// Answers what is due, and says when to look again.
-    pub fn tick(&self) -> Micros {
+    /// Answers what is due, and says when to look again; `None` if nothing is due by itself.
+    pub fn tick(&self) -> Option<Micros> {
         let mut decisions = self.decisions();
         let now = self.clock.now();
-        for (session, body) in decisions.relay.tick(now) {
+        let due = decisions.relay.tick(now);
+        count(&self.counters.bodies, distinct_bodies(&due));
+        for (session, body) in due {
             if let Some(sender) = decisions.held.remove(&session) {
                 // Who has gone meanwhile has given its place back itself.
                 let _ = sender.send(PollEnd::Answered(body));
             }
         }
-        decisions.ticker_at = decisions.relay.next(now);
+        decisions.ticker_at = decisions.relay.next();
         decisions.ticker_at
     }
 
     /// Wakes the ticker where something is due before it would look. Called after each change of the decisions.
-    pub fn wake_ticker(&self, decisions: &Decisions, now: Micros) {
-        if decisions.relay.next(now) < decisions.ticker_at {
+    pub fn wake_ticker(&self, decisions: &Decisions) {
+        let Some(next) = decisions.relay.next() else { return };
+        if decisions.ticker_at.is_none_or(|at| next < at) {
             self.earlier.notify_one();
         }
     }
@@ -160,10 +169,33 @@
         }
     }
 
-    /// Polls that are held now.
-    pub fn held(&self) -> usize {
-        self.decisions().held.len()
+    /// Whether the relay stops.
+    pub fn stopping(&self) -> bool {
+        self.decisions().stopping
     }
+
+    /// The chain of relays from this one to the bus, for the header of an answer.
+    pub fn chain_header(&self) -> HeaderValue {
+        self.chain_header.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// An answer of an upstream with this chain behind it has been taken in.
+    pub fn set_upstream(&self, decisions: &mut Decisions, upstream: SocketAddr, chain: Chain) {
+        decisions.upstream = Some(upstream);
+        if decisions.chain == chain {
+            return;
+        }
+        if let Ok(header) = HeaderValue::try_from(chain.to_string()) {
+            *self.chain_header.write().unwrap_or_else(PoisonError::into_inner) = header;
+        }
+        decisions.chain = chain;
+    }
+}
+
+/// How many different bodies there are among polls that are answered together.
+fn distinct_bodies(due: &[(Session, SharedBody)]) -> u64 {
+    let bodies: HashSet<*const u8> = due.iter().map(|(_, body)| body.as_ptr()).collect();
+    bodies.len() as u64
 }
 
 enum Begun {
--- a/crates/relay/src/status.rs
+++ b/crates/relay/src/status.rs
@@ -1,9 +1,10 @@
 //! What a relay tells operators: its decisions' status, its counters and its process.
 
+use crate::admission::Admission;
 use crate::process::ProcessUsage;
 use crate::state::{Counters, State};
 use sagearch_feed::Micros;
-use sagearch_feed::relay::{Report, Status};
+use sagearch_feed::relay::report::{Report, Status};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,7 +21,7 @@
     pub connections: usize,
     /// Subscribers of this relay whose freshness lease is over, as far as this relay knows.
     pub in_doubt: usize,
-    /// Subscribers that have not acknowledged the offset asked for.
+    /// Subscribers that have not acknowledged the offset asked for, as far as `lagging` names them.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub behind: Option<Vec<String>>,
     pub counters: CounterValues,
@@ -32,12 +33,11 @@
 pub struct CounterValues {
     pub answers: u64,
     pub answer_bytes: u64,
-    /// Flushes that answered held polls.
-    pub batches: u64,
-    /// Answers that held the whole state.
-    pub snapshots: u64,
-    /// Polls answered 503, and connections that found no place.
+    /// Bodies made for held polls, each shared by all that are as far.
+    pub bodies: u64,
+    /// Polls answered 503.
     pub busy: u64,
+    /// Connections that found no place.
     pub refused_connections: u64,
     /// Polls answered 400.
     pub bad: u64,
@@ -48,15 +48,14 @@
 }
 
 impl CounterValues {
-    fn read(counters: &Counters) -> CounterValues {
+    fn read(counters: &Counters, refused_connections: u64) -> CounterValues {
         let value = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
         CounterValues {
             answers: value(&counters.answers),
             answer_bytes: value(&counters.answer_bytes),
-            batches: value(&counters.batches),
-            snapshots: value(&counters.snapshots),
+            bodies: value(&counters.bodies),
             busy: value(&counters.busy),
-            refused_connections: value(&counters.refused_connections),
+            refused_connections,
             bad: value(&counters.bad),
             upstream_failures: value(&counters.upstream_failures),
             loops_refused: value(&counters.loops_refused),
@@ -68,7 +67,7 @@
 
 impl RelayStatus {
     /// The status now; with `offset`, also who has not acknowledged it.
-    pub fn read(state: &State, connections: usize, offset: Option<u64>) -> RelayStatus {
+    pub fn read(state: &State, admission: &Admission, offset: Option<u64>) -> RelayStatus {
         let decisions = state.decisions();
         let now = state.clock.now();
         let feed = decisions.relay.status(now);
@@ -83,10 +82,10 @@
             feed,
             upstream,
             chain,
-            connections,
+            connections: admission.connections(),
             in_doubt,
             behind,
-            counters: CounterValues::read(&state.counters),
+            counters: CounterValues::read(&state.counters, admission.refused()),
             process: ProcessUsage::read(),
         }
     }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,12 +1,12 @@
 //! Follows the event bus or another relay by one long poll.
 
-use crate::chain::Chain;
+use crate::chain::{Chain, ChainError};
 use crate::client::{Answered, CallError, HttpClient};
 use crate::state::{State, count};
 use http::StatusCode;
 use sagearch_feed::Micros;
 use sagearch_feed::message::{Answer, Poll};
-use sagearch_feed::subscription::{Failure, Step, Subscription};
+use sagearch_feed::subscription::{Failure, Rejected, Step, Subscription, Taken};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +21,10 @@
     Call(#[from] CallError),
     #[error("the answer can't be used: {0}")]
     Unusable(String),
-    #[error("{0}")]
-    Loop(#[from] crate::chain::ChainError),
+    #[error(transparent)]
+    Chain(#[from] ChainError),
+    #[error("the answer is rejected: {0}")]
+    Rejected(#[from] Rejected),
 }
 
 impl PollError {
@@ -88,7 +90,7 @@
         if let Err(error) = &taken {
             let counters = &self.state.counters;
             count(&counters.upstream_failures, 1);
-            if matches!(error, PollError::Loop(_)) {
+            if matches!(error, PollError::Chain(ChainError::Loop(_))) {
                 count(&counters.loops_refused, 1);
             }
         }
@@ -113,7 +115,23 @@
 
     /// Takes an answer in: from here on it is told to subscribers, and acknowledged with the next poll.
     fn take(&mut self, upstream: SocketAddr, sent: Micros, answered: UpstreamAnswer) -> Result<(), PollError> {
-        todo!()
+        let UpstreamAnswer { answer, chain } = answered;
+        let mut decisions = self.state.decisions();
+        let now = self.state.clock.now();
+        let taken = self.subscription.answered(now, sent, &answer.head)?;
+        let as_of = match taken {
+            Taken::Nothing => self.subscription.lease().as_of(),
+            Taken::Changes { .. } | Taken::Snapshot => self.subscription.pending_as_of(),
+        };
+        if let Err(rejected) = decisions.relay.upstream(now, as_of, taken, &answer) {
+            let error = PollError::Unusable(rejected.to_string());
+            self.subscription.failed(now, error.failure());
+            return Err(error);
+        }
+        self.subscription.in_force(now);
+        self.state.set_upstream(&mut decisions, upstream, chain);
+        self.state.wake_ticker(&decisions);
+        Ok(())
     }
 }
 
