--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -45,11 +45,11 @@
 }
 
 impl Fixture {
-    /// A relay with a lease so long that only acknowledgements make an offset done.
+    /// A relay with a lease so long that acknowledgements come before its end.
     fn start() -> Fixture {
         let runtime = tokio::runtime::Runtime::new().unwrap();
         let text = format!(
-            "relay \"r1\" listen=\"127.0.0.1:0\" lease=\"30s\" {{\n    upstream \"{}\"\n}}\n",
+            "relay \"r1\" listen=\"127.0.0.1:0\" lease=\"4s\" {{\n    upstream \"{}\"\n}}\n",
             start_bus()
         );
         let file = relay("relay.kdl", &OneFile { name: "relay.kdl", text: &text }).unwrap();
--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -177,6 +177,7 @@
             watermark: Watermark::new(name, peers, *lease, *drift, *forget_after, now),
             snapshot: OnceLock::new(),
             housekeeping_at: now,
+            snapshots: 0,
             settings,
         }
     }
@@ -227,7 +228,10 @@
             Wanted::Snapshot if poll.identity.is_none() && !self.purges.floors().is_empty() => {
                 Reply::Bad("without a name there is no snapshot: old purges are told by slice".to_owned())
             }
-            Wanted::Snapshot => Reply::Now(self.body(now, wanted)),
+            Wanted::Snapshot => {
+                self.snapshots += 1;
+                Reply::Now(self.body(now, wanted))
+            }
             Wanted::After(from) if from < self.flushed || poll.hold_ms == 0 => {
                 Reply::Now(self.body(now, Wanted::After(from)))
             }
@@ -250,6 +254,8 @@
             due = self.held.take_older(self.flushed);
         }
         due.extend(self.held.take_ended(now));
+        let snapshots = due.iter().filter(|(_, poll)| self.wanted(*poll) == Wanted::Snapshot);
+        self.snapshots += snapshots.count() as u64;
         // Encoded once for all that are as far.
         let mut bodies = BTreeMap::new();
         let answer = |(session, poll): (Session, HeldPoll)| {
@@ -310,6 +316,7 @@
             complete: self.watermark.complete(now),
             sessions: self.admission.len(),
             held_polls: self.held.len(),
+            snapshots: self.snapshots,
             log_base: self.log.base(),
             log_events: self.log.len(),
             stores: self.topology.len(),
--- a/crates/feed/src/relay/report.rs
+++ b/crates/feed/src/relay/report.rs
@@ -59,6 +59,8 @@
     pub complete: bool,
     pub sessions: usize,
     pub held_polls: usize,
+    /// Answers that held the whole state, since the start.
+    pub snapshots: u64,
     /// Events after this one can be told one by one.
     pub log_base: u64,
     pub log_events: usize,
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -2,11 +2,13 @@
 
 use crate::admission::{Admission, Admitted, LobbyPlace, Place};
 use crate::routes::Caller;
-use axum::{Extension, Router};
+use axum::Router;
+use hyper::Request;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
-use hyper_util::service::TowerToHyperService;
 use socket2::SockRef;
 use std::io;
 use std::net::SocketAddr;
@@ -15,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
+use tower::ServiceExt;
 
 /// Connections that the system may hold before they are accepted.
 const BACKLOG: u32 = 4_096;
@@ -77,22 +80,32 @@
     match admission.admit(address.ip()) {
         Admitted::Served(place) => {
             let caller = Caller { address: address.ip().to_canonical() };
-            serve_connection(stream, router.clone().layer(Extension(caller)), place, graceful);
+            serve_connection(stream, router.clone(), caller, place, graceful);
         }
         Admitted::Refused(place) => drop(tokio::spawn(refuse(stream, place))),
         Admitted::Dropped => {}
     }
 }
 
-fn serve_connection(stream: TcpStream, router: Router, place: Place, graceful: &GracefulShutdown) {
+fn serve_connection(
+    stream: TcpStream,
+    router: Router,
+    caller: Caller,
+    place: Place,
+    graceful: &GracefulShutdown,
+) {
     if let Err(e) = prepare(&stream) {
         return tracing::debug!(cause = %e, "a connection is not usable");
     }
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
+        router.clone().oneshot(request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_WITHIN)
         .max_buf_size(LONGEST_HEAD)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
+        .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
         if let Err(e) = connection.await {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -53,6 +53,7 @@
     counter("answers", "Polls answered 200", counters.answers);
     counter("answer_bytes", "Bytes of their bodies", counters.answer_bytes);
     counter("bodies", "Bodies made for held polls, each shared by all that are as far", counters.bodies);
+    counter("snapshots", "Answers that held the whole state", status.feed.snapshots);
     counter("busy", "Polls answered 503", counters.busy);
     counter("refused_connections", "Connections that found no place", counters.refused_connections);
     counter("bad", "Polls answered 400", counters.bad);
--- a/crates/relay/tests/acknowledgements.rs
+++ b/crates/relay/tests/acknowledgements.rs
@@ -28,6 +28,8 @@
     let mut gateway = Subscriber::new(relay.address, "g1");
     gateway.catch_up(1).await;
     gateway.poll(0).await.unwrap();
+    until_complete(&[relay.address]).await;
+    gateway.poll(0).await.unwrap();
 
     let offset = bus.purge(1);
     // Told, and not yet in force.
@@ -41,8 +43,8 @@
     gateway.from = offset;
     gateway.poll(0).await.unwrap();
     let answer = wait(relay.address, offset, 10_000).await;
-    assert_eq!(answer["done"], true, "{answer}");
-    assert!(answer["took_ms"].as_f64().unwrap() > 300.0, "{answer}");
+    assert_eq!((&answer["done"], &answer["by"]), (&json!(true), &json!("acknowledged")), "{answer}");
+    assert!(answer["took_ms"].as_u64().unwrap() >= 300, "{answer}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -67,7 +69,8 @@
     .await;
     let answer = wait(relay.address, offset, 10_000).await;
     assert_eq!(answer["done"], true, "{answer}");
-    assert!(answer["took_ms"].as_f64().unwrap() >= 1_000.0, "{answer}");
+    assert_eq!(answer["by"], "lease_over");
+    assert!(answer["took_ms"].as_u64().unwrap() >= 1_000, "{answer}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -84,13 +87,15 @@
     })
     .await;
 
+    until_complete(&[one, other]).await;
+    gateway.poll(0).await.unwrap();
     let offset = bus.purge(1);
     until("the relay has it", async || get_json(one, "/feed/status").await["offset"] == offset).await;
     assert_eq!(wait(one, offset, 1_500).await["done"], false, "the peer's gateway has not acknowledged it");
     gateway.catch_up(offset).await;
     gateway.poll(0).await.unwrap();
     let answer = wait(one, offset, 10_000).await;
-    assert_eq!(answer["done"], true, "{answer}");
+    assert_eq!((&answer["done"], &answer["by"]), (&json!(true), &json!("acknowledged")), "{answer}");
 
     second.stop().await;
     let offset = bus.purge(2);
@@ -107,6 +112,7 @@
     gone.name = "gone%201".into();
     gone.catch_up(1).await;
     gone.poll(0).await.unwrap();
+    until_complete(&[relay.address]).await;
     let mut stays = Subscriber::new(relay.address, "stays");
     let offset = bus.purge(1);
     stays.catch_up(offset).await;
@@ -119,7 +125,8 @@
     assert!(answer.contains("\"forgotten\":true"), "{answer}");
     let answer = request(relay.address, "POST", "/feed/forget?name=gone%201").await;
     assert!(answer.contains("\"forgotten\":false"), "{answer}");
-    assert_eq!(wait(relay.address, offset, 5_000).await["done"], true);
+    let answer = wait(relay.address, offset, 5_000).await;
+    assert_eq!((&answer["done"], &answer["by"]), (&json!(true), &json!("acknowledged")), "{answer}");
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -2,7 +2,7 @@
 
 mod stand;
 
-use sagearch_relay::client::LONGEST_BODY;
+use sagearch_relay::client::{CallError, HttpClient, LONGEST_BODY};
 use serde_json::{Value, json};
 use stand::{
     Bus, Mode, Subscriber, connect_from, get_json, raw, relay_file, request, start, start_broken, until,
@@ -129,6 +129,9 @@
     // Its JSON would be read, were it not for its length.
     answer.extend_from_slice(br#"{"offset":1,"feed":"feed-x","batch":[]}"#);
     answer.resize(answer.len() + length, b' ');
+    let broken = start_broken(answer.clone()).await;
+    let call = HttpClient::new().get(broken, "/bus/read").await;
+    assert!(matches!(call, Err(CallError::TooLong)), "{:?}", call.err());
     stays_empty_after(answer).await;
 }
 
@@ -144,6 +147,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_thousand_connections_of_one_address_leave_room_for_others() {
+    rlimit::increase_nofile_limit(8_192).unwrap();
     let bus = Bus::start(Some("feed-a")).await;
     let relay = start(&relay_file("r1", &[bus.address], "per-address=64 sessions=200"));
     let mut other = Subscriber::new(relay.address, "g1");
--- a/crates/relay/tests/program.rs
+++ b/crates/relay/tests/program.rs
@@ -52,7 +52,7 @@
         assert_eq!(output.status.code(), Some(2));
         let told = String::from_utf8(output.stderr).unwrap();
         let place = file.to_string_lossy();
-        assert!(told.contains(&format!("{place}:1:34: batch is a time without its unit")), "{told}");
+        assert!(told.contains(&format!("{place}:1:33: batch is a time without its unit")), "{told}");
         assert!(told.contains(&format!("{place}:2:5: \"upstrem\" is not known here; \"upstream\" is")), "{told}");
     }
     let output = command().arg("serve").arg(folder.0.join("none.kdl")).output().unwrap();
--- a/crates/relay/tests/stand/mod.rs
+++ b/crates/relay/tests/stand/mod.rs
@@ -254,7 +254,7 @@
 }
 
 /// Waits until something holds.
-pub async fn until<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
+pub async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let began = Instant::now();
     while !holds().await {
         assert!(began.elapsed() < PATIENCE, "not in time: {what}");
