--- a/crates/control/src/feed.rs
+++ b/crates/control/src/feed.rs
@@ -153,7 +153,9 @@
 
 fn wait_text(offset: u64, answer: &Value) -> String {
     match answer["done"] == true {
-        true => format!("offset {offset} is done everywhere, {} ms after the relay learned it", answer["took_ms"]),
+        true => {
+            format!("offset {offset} is done everywhere, {} ms after the relay learned it", answer["took_ms"])
+        }
         false => format!("offset {offset} is not done everywhere; the watermark is {}", answer["watermark"]),
     }
 }
--- a/crates/feed/src/relay.rs
+++ b/crates/feed/src/relay.rs
@@ -157,6 +157,8 @@
     /// The events of a snapshot, as long as nothing has changed since they were encoded.
     snapshot: OnceLock<String>,
     housekeeping_at: Micros,
+    /// Answers that held the whole state, since the start.
+    snapshots: u64,
 }
 
 impl Relay {
--- a/crates/operators/src/relay.rs
+++ b/crates/operators/src/relay.rs
@@ -28,7 +28,12 @@
     property("lease", Span(300, 60 * SECOND), Default("1700ms"), "the freshness lease of subscribers"),
     property("drift", Number(0, 100), Default("10"), "thousandths by which a clock may run fast or slow"),
     property("keep-purges", Span(SECOND, 24 * HOUR), Default("10m"), "how long a snapshot tells a purge"),
-    property("purge-room", Number(16, 1_000_000), Default("50000"), "purges that a snapshot tells one by one"),
+    property(
+        "purge-room",
+        Number(16, 1_000_000),
+        Default("50000"),
+        "purges that a snapshot tells one by one",
+    ),
     property("log-room", Number(16, 1_000_000), Default("50000"), "events that are kept for who is behind"),
     property("sessions", Number(1, 100_000), Default("10000"), "connections in all; beyond, 503"),
     property("per-address", Number(1, 100_000), Default("64"), "connections of one address; beyond, 503"),
@@ -129,7 +134,8 @@
 fn checked_name(item: &Item, name: String) -> Result<String, Fault> {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
     if name.len() > LONGEST_NAME || !name.bytes().all(allowed) {
-        let cause = format!("{name:?} is no name: at most {LONGEST_NAME} of a-z, A-Z, 0-9, \".\", \"_\", \"-\"");
+        let cause =
+            format!("{name:?} is no name: at most {LONGEST_NAME} of a-z, A-Z, 0-9, \".\", \"_\", \"-\"");
         return Err(item.fault(cause));
     }
     Ok(name)
--- a/crates/operators/src/schema.rs
+++ b/crates/operators/src/schema.rs
@@ -70,7 +70,12 @@
     pub without: Without,
 }
 
-pub(crate) const fn property(name: &'static str, kind: Kind, without: Without, about: &'static str) -> Property {
+pub(crate) const fn property(
+    name: &'static str,
+    kind: Kind,
+    without: Without,
+    about: &'static str,
+) -> Property {
     Property { name, kind, without, about }
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -36,7 +36,11 @@
     gauge("stores", "Stores in the list", feed.stores as u64);
     gauge("log_events", "Events kept for who is behind", feed.log_events as u64);
     gauge("purges", "Purges that a snapshot tells one by one", feed.purges as u64);
-    gauge("purge_floors", "Slices of the hash space with a floor from folded purges", feed.purge_floors as u64);
+    gauge(
+        "purge_floors",
+        "Slices of the hash space with a floor from folded purges",
+        feed.purge_floors as u64,
+    );
     gauge("resident_bytes", "Resident memory of the process", status.process.resident_bytes);
     gauge("descriptors", "Open descriptors of the process", status.process.descriptors);
     if let Some(age_ms) = feed.age_ms {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -40,8 +40,7 @@
 
 async fn ask(peer: &Peer, client: &HttpClient) -> Result<Report, ReportError> {
     let call = client.get(peer.address, "/feed/report");
-    let answered =
-        tokio::time::timeout(ANSWERED_WITHIN, call).await.map_err(|_| ReportError::Silent)??;
+    let answered = tokio::time::timeout(ANSWERED_WITHIN, call).await.map_err(|_| ReportError::Silent)??;
     let report: Report = serde_json::from_slice(&answered.body)?;
     match report.relay == peer.name {
         true => Ok(report),
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -2,10 +2,10 @@
 
 use crate::chain::Chain;
 use crate::clock::Clock;
+use axum::http::HeaderValue;
 use sagearch_feed::Micros;
 use sagearch_feed::message::Poll;
 use sagearch_feed::relay::{Relay, Reply, Session};
-use axum::http::HeaderValue;
 use std::collections::{HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -20,7 +20,9 @@
 pub enum PollEnd {
     Answered(SharedBody),
     /// No room: come back after this time.
-    Busy { retry_after_ms: u64 },
+    Busy {
+        retry_after_ms: u64,
+    },
     /// The query says something that can't be.
     Bad(String),
     /// The relay stops: ask another one.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -114,7 +114,12 @@
     }
 
     /// Takes an answer in: from here on it is told to subscribers, and acknowledged with the next poll.
-    fn take(&mut self, upstream: SocketAddr, sent: Micros, answered: UpstreamAnswer) -> Result<(), PollError> {
+    fn take(
+        &mut self,
+        upstream: SocketAddr,
+        sent: Micros,
+        answered: UpstreamAnswer,
+    ) -> Result<(), PollError> {
         let UpstreamAnswer { answer, chain } = answered;
         let mut decisions = self.state.decisions();
         let now = self.state.clock.now();
