--- a/crates/control/tests/feed.rs
+++ b/crates/control/tests/feed.rs
@@ -106,6 +106,9 @@
     assert_eq!(status["offset"], 1);
     assert_eq!(status["behind"], serde_json::json!(["gate/1"]));
 
+    let status = text(&fixture.feed(&["status"]));
+    assert!(status.contains("offset: 1\n") && status.contains("name gate/1"), "{status}");
+
     fixture.poll(1);
     let waiting = fixture.feed(&["wait", "1", "--within", "10s"]);
     assert_eq!(waiting.status.code(), Some(0), "{waiting:?}");
@@ -113,7 +116,7 @@
     assert_eq!(json(&fixture.feed(&["wait", "1", "--json"]))["done"], true);
 
     let status = text(&fixture.feed(&["status"]));
-    assert!(status.contains("offset: 1\n") && status.contains("gate/1"), "{status}");
+    assert!(status.contains("subscribers: 1\n") && !status.contains("gate/1"), "{status}");
 
     let forgotten = fixture.feed(&["forget", "gate/1"]);
     assert_eq!((forgotten.status.code(), text(&forgotten).trim()), (Some(0), "gate/1 is forgotten"));
