--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -51,13 +51,14 @@
 async fn serve_until_signal(file: &RelayFile) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
-    let relay = RunningRelay::start(file).map_err(|e| e.to_string())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let mut relay = RunningRelay::start(file).map_err(|e| e.to_string())?;
+    let end = tokio::select! {
+        _ = terminate.recv() => Ok(()),
+        _ = interrupt.recv() => Ok(()),
+        () = relay.broken() => Err("a task of the relay has ended by a defect".to_string()),
+    };
     relay.stop().await;
-    Ok(())
+    end
 }
 
 fn start_log(json: bool) {
--- a/crates/relay/src/running.rs
+++ b/crates/relay/src/running.rs
@@ -62,6 +62,11 @@
         Ok(RunningRelay { address, state, stop, serving, tasks })
     }
 
+    /// Waits until one of the relay's own tasks has ended, which happens by a defect only.
+    pub async fn broken(&mut self) {
+        let _ = self.tasks.join_next().await;
+    }
+
     /// Ends held polls at once, and connections as soon as their answers are out.
     pub async fn stop(mut self) {
         self.state.stop();
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -7,6 +7,8 @@
 use sagearch_feed::Micros;
 use sagearch_feed::message::{Answer, Poll};
 use sagearch_feed::subscription::{Failure, Rejected, Step, Subscription, Taken};
+use std::collections::HashSet;
+use std::mem::{Discriminant, discriminant};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,15 +60,14 @@
 impl Follower {
     /// Polls for as long as the relay runs.
     pub async fn run(mut self) {
-        // A trouble is logged once, not once a try.
-        let mut trouble: Option<String> = None;
+        let mut troubles = Troubles::default();
         loop {
             match self.subscription.next(self.state.clock.now()) {
                 Step::Wait { until } => tokio::time::sleep_until(self.state.clock.instant(until)).await,
                 Step::Poll { relay, poll, give_up_after } => {
                     let upstream = self.upstreams[relay];
                     let result = self.poll(upstream, &poll, give_up_after).await;
-                    log_change(upstream, &result, &mut trouble);
+                    troubles.log(upstream, &result);
                 }
             }
         }
@@ -140,19 +141,26 @@
     }
 }
 
-/// Logs the first of several failures, and the first success after them.
-fn log_change(upstream: SocketAddr, result: &Result<(), PollError>, trouble: &mut Option<String>) {
-    match result {
-        Ok(()) => {
-            if trouble.take().is_some() {
-                tracing::info!(%upstream, "the upstream answers again");
+/// Troubles that have been logged: each kind once for an upstream, until that one answers again.
+#[derive(Default)]
+struct Troubles {
+    logged: HashSet<(SocketAddr, Discriminant<PollError>)>,
+}
+
+impl Troubles {
+    fn log(&mut self, upstream: SocketAddr, result: &Result<(), PollError>) {
+        match result {
+            Ok(()) => {
+                let before = self.logged.len();
+                self.logged.retain(|(troubled, _)| *troubled != upstream);
+                if self.logged.len() < before {
+                    tracing::info!(%upstream, "the upstream answers again");
+                }
             }
-        }
-        Err(error) => {
-            let cause = error.to_string();
-            if trouble.as_ref() != Some(&cause) {
-                tracing::warn!(%upstream, cause, "the upstream brings nothing");
-                *trouble = Some(cause);
+            Err(error) => {
+                if self.logged.insert((upstream, discriminant(error))) {
+                    tracing::warn!(%upstream, cause = %error, "the upstream brings nothing");
+                }
             }
         }
     }
