--- a/crates/relay/tests/acknowledgements.rs
+++ b/crates/relay/tests/acknowledgements.rs
@@ -177,3 +177,18 @@
     }
     assert!(metrics.trim_end().ends_with("# EOF"));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peer_under_another_name_is_not_heard() {
+    let bus = Bus::start(Some("feed-a")).await;
+    let other = start(&relay_file("r3", &[bus.address], ""));
+    let listen = free_address();
+    let relay = start(&file_with("r1", listen, &[bus.address], &[("r2", other.address)], ""));
+    until("two refused reports", async || {
+        get_json(relay.address, "/feed/status").await["counters"]["report_failures"].as_u64().unwrap() >= 2
+    })
+    .await;
+    let status = get_json(relay.address, "/feed/status").await;
+    assert_eq!(status["counters"]["reports_heard"], 0, "{status}");
+    assert_eq!(status["peers"][0]["silent_ms"], Value::Null, "{status}");
+}
