--- /dev/null
+++ b/crates/relay/src/upstream.rs
@@ -0,0 +1,167 @@
+//! Follows the event bus or another relay by one long poll.
+
+use crate::chain::{Chain, ChainError};
+use crate::client::{Answered, CallError, HttpClient};
+use crate::state::{State, count};
+use http::StatusCode;
+use sagearch_feed::Micros;
+use sagearch_feed::message::{Answer, Poll};
+use sagearch_feed::subscription::{Failure, Rejected, Step, Subscription, Taken};
+use std::collections::HashSet;
+use std::mem::{Discriminant, discriminant};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why a poll brought nothing.
+#[derive(Debug, Error)]
+enum PollError {
+    #[error("no answer in time")]
+    Silent,
+    #[error(transparent)]
+    Call(#[from] CallError),
+    #[error("the answer can't be used: {0}")]
+    Unusable(String),
+    #[error(transparent)]
+    Chain(#[from] ChainError),
+    #[error("the answer is rejected: {0}")]
+    Rejected(#[from] Rejected),
+}
+
+impl PollError {
+    fn failure(&self) -> Failure {
+        match self {
+            PollError::Silent => Failure::Silent,
+            PollError::Call(CallError::Unreachable(_)) => Failure::Unreachable,
+            PollError::Call(CallError::Lost(_)) => Failure::Lost,
+            PollError::Call(CallError::Refused { status: StatusCode::SERVICE_UNAVAILABLE, retry_after }) => {
+                Failure::Refused { retry_after: *retry_after }
+            }
+            other => Failure::Unusable(other.to_string()),
+        }
+    }
+}
+
+/// A whole answer of an upstream.
+struct UpstreamAnswer {
+    answer: Answer,
+    chain: Chain,
+}
+
+/// The relay's own place as a subscriber.
+pub struct Follower {
+    pub state: Arc<State>,
+    pub subscription: Subscription,
+    pub upstreams: Vec<SocketAddr>,
+    pub client: HttpClient,
+}
+
+impl Follower {
+    /// Polls for as long as the relay runs.
+    pub async fn run(mut self) {
+        let mut troubles = Troubles::default();
+        loop {
+            match self.subscription.next(self.state.clock.now()) {
+                Step::Wait { until } => tokio::time::sleep_until(self.state.clock.instant(until)).await,
+                Step::Poll { relay, poll, give_up_after } => {
+                    let upstream = self.upstreams[relay];
+                    let result = self.poll(upstream, &poll, give_up_after).await;
+                    troubles.log(upstream, &result);
+                }
+            }
+        }
+    }
+
+    /// One poll, and what it brings is in force when this returns.
+    async fn poll(
+        &mut self,
+        upstream: SocketAddr,
+        poll: &Poll,
+        give_up_after: Micros,
+    ) -> Result<(), PollError> {
+        let sent = self.state.clock.now();
+        let taken = match self.ask(upstream, poll, give_up_after).await {
+            Ok(answered) => self.take(upstream, sent, answered),
+            Err(error) => {
+                self.subscription.failed(self.state.clock.now(), error.failure());
+                Err(error)
+            }
+        };
+        if let Err(error) = &taken {
+            let counters = &self.state.counters;
+            count(&counters.upstream_failures, 1);
+            if matches!(error, PollError::Chain(ChainError::Loop(_))) {
+                count(&counters.loops_refused, 1);
+            }
+        }
+        taken
+    }
+
+    async fn ask(
+        &self,
+        upstream: SocketAddr,
+        poll: &Poll,
+        give_up_after: Micros,
+    ) -> Result<UpstreamAnswer, PollError> {
+        let path = poll.path();
+        let call = self.client.get(upstream, &path);
+        let Answered { body, chain } = tokio::time::timeout(Duration::from_micros(give_up_after), call)
+            .await
+            .map_err(|_| PollError::Silent)??;
+        let chain = chain.followed_by(&self.state.name)?;
+        let answer = serde_json::from_slice(&body).map_err(|e| PollError::Unusable(e.to_string()))?;
+        Ok(UpstreamAnswer { answer, chain })
+    }
+
+    /// Takes an answer in: from here on it is told to subscribers, and acknowledged with the next poll.
+    fn take(
+        &mut self,
+        upstream: SocketAddr,
+        sent: Micros,
+        answered: UpstreamAnswer,
+    ) -> Result<(), PollError> {
+        let UpstreamAnswer { answer, chain } = answered;
+        let mut decisions = self.state.decisions();
+        let now = self.state.clock.now();
+        let taken = self.subscription.answered(now, sent, &answer.head)?;
+        let as_of = match taken {
+            Taken::Nothing => self.subscription.lease().as_of(),
+            Taken::Changes { .. } | Taken::Snapshot => self.subscription.pending_as_of(),
+        };
+        if let Err(rejected) = decisions.relay.upstream(now, as_of, taken, &answer) {
+            let error = PollError::Unusable(rejected.to_string());
+            self.subscription.failed(now, error.failure());
+            return Err(error);
+        }
+        self.subscription.in_force(now);
+        self.state.set_upstream(&mut decisions, upstream, chain);
+        self.state.wake_ticker(&decisions);
+        Ok(())
+    }
+}
+
+/// Troubles that have been logged: each kind once for an upstream, until that one answers again.
+#[derive(Default)]
+struct Troubles {
+    logged: HashSet<(SocketAddr, Discriminant<PollError>)>,
+}
+
+impl Troubles {
+    fn log(&mut self, upstream: SocketAddr, result: &Result<(), PollError>) {
+        match result {
+            Ok(()) => {
+                let before = self.logged.len();
+                self.logged.retain(|(troubled, _)| *troubled != upstream);
+                if self.logged.len() < before {
+                    tracing::info!(%upstream, "the upstream answers again");
+                }
+            }
+            Err(error) => {
+                if self.logged.insert((upstream, discriminant(error))) {
+                    tracing::warn!(%upstream, cause = %error, "the upstream brings nothing");
+                }
+            }
+        }
+    }
+}
