Scale run: scenario, layout, judge, links and what its processes write down

Cause: purges are to be done everywhere within 1.9 s at 2,200 gateways, and no run of the laboratory starts that many. Change: the parts of a scale run that decide or only watch; not built yet.

--- /dev/null
+++ b/crates/lab/src/scale/mod.rs
@@ -0,0 +1,20 @@
+//! The scale run: a whole fleet's control traffic on one machine, with its cost per role and the time that purges take.
+//!
+//! Most gateways are hollow: the control side of the product without its requests, many in one process ([`host`]). A few
+//! are real processes, so that both can be compared. [`judge`] and [`cost`] are pure; [`run`] starts and stops processes.
+
+pub mod bus;
+pub mod cost;
+pub mod host;
+pub mod judge;
+pub mod layout;
+pub mod link;
+pub mod observation;
+pub mod plan;
+pub mod process;
+pub mod real;
+pub mod report;
+pub mod run;
+pub mod scenario;
+pub mod schema;
+pub mod usage;
