--- /dev/null
+++ b/crates/lab/src/scale/cost/tests.rs
@@ -0,0 +1,52 @@
+//! Costs are by time and by process, and what is over the need is told.
+
+use super::*;
+use std::time::Duration;
+
+fn usage(at_us: u64, processor_us: u64, wake_ups: u64) -> Usage {
+    Usage { at_us, processor_us, resident_kb: 20_480, wake_ups }
+}
+
+fn need() -> Need {
+    Need { within: Duration::from_millis(1_900), core: 0.047, memory_mb: 32.0, traffic_kb: 15.0 }
+}
+
+#[test]
+fn rates_are_by_the_time_between_readings() {
+    let (first, last) = (usage(1_000_000, 500, 10), usage(3_000_000, 1_000_500, 30));
+    let rates = Rates::between(&first, &last).unwrap();
+    assert_eq!(rates, Rates { core: 0.5, memory_mb: 20.0, wake_ups_per_second: 10.0 });
+    assert_eq!(Rates::between(&last, &last), None);
+    assert_eq!(rates.plus(&rates).minus(&rates, 2.0), Rates::default());
+    assert_eq!(rates.divided(2.0).core, 0.25);
+}
+
+#[test]
+fn headers_count_and_a_cost_over_the_need_is_told() {
+    let traffic = Traffic {
+        requests: 10,
+        answers: 10,
+        failures: 0,
+        bytes_up: 1_000,
+        bytes_down: 9_000,
+        answer_segments: 10,
+    };
+    assert_eq!(traffic.wire_bytes(), 10_000 + 30 * 40);
+    let rates = Rates { core: 0.047, memory_mb: 32.0, wake_ups_per_second: 1.0 };
+    let cost = Cost::of(Role::HollowGateway, 1, rates).with_traffic(&traffic, 2.0);
+    assert_eq!((cost.traffic_kb_per_second, cost.messages_per_second), (Some(5.6), Some(10.0)));
+    assert_eq!(cost.over(&need()), [] as [&str; 0]);
+    let dear = Rates { core: 0.048, memory_mb: 33.0, ..rates };
+    let dear = Cost::of(Role::RealGateway, 1, dear).with_traffic(&traffic, 0.5);
+    assert_eq!(dear.over(&need()), ["core", "memory", "traffic"]);
+    assert_eq!(Cost { role: Role::Bus, ..dear }.over(&need()), [] as [&str; 0]);
+}
+
+#[test]
+fn growth_is_fitted_for_each_figure() {
+    let at = |core| Cost::of(Role::Bus, 1, Rates { core, ..Rates::default() });
+    let sizes = [(100, vec![at(0.1)]), (300, vec![at(0.3)]), (1_000, vec![at(1.0)])];
+    let growth = growth(&sizes);
+    let core = growth.iter().find(|it| it.figure == "core").unwrap();
+    assert!((core.line.slope - 0.001).abs() < 1e-9 && core.line.residual < 1e-9);
+}
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -17,4 +17,5 @@
 pub mod run;
 pub mod scenario;
 pub mod schema;
+pub mod takes;
 pub mod usage;
