--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,7 +2,8 @@
 //! a schedule that a seed has drawn, and judges what all parties saw.
 //!
 //! What decides is apart from what acts: scenarios, schedules, links, the model of the world and the checker do no I/O,
-//! read no clock and start nothing. Nothing here is linked into the gateway.
+//! read no clock and start nothing. Nothing here is linked into the gateway;
+//! [`scale::host`] alone links the gateway in.
 
 pub mod act;
 pub mod arrivals;
@@ -20,6 +21,7 @@
 pub mod picture;
 pub mod range;
 pub mod report;
+pub mod scale;
 pub mod scenario;
 pub mod schedule;
 pub mod schema;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,10 @@
 use clap::{Parser, Subcommand};
 use sagearch_lab::act::{fleet, run};
 use sagearch_lab::experiment::{self, Line};
+use sagearch_lab::scale;
+use sagearch_lab::scale::fleet::Programs;
+use sagearch_lab::scale::scenario::Scenario as ScaleScenario;
+use sagearch_lab::scale::takes::Takes;
 use sagearch_lab::scenario::{self, Scenario};
 use sagearch_lab::schedule::Schedule;
 use sagearch_lab::shrink;
@@ -75,6 +79,40 @@
         #[arg(long, default_value_t = 40)]
         tries: usize,
     },
+    /// Plays a whole fleet's control traffic at several sizes: how long purges take, and what each role costs. Ends with
+    /// 0 if all holds, 1 if not.
+    Scale {
+        scenario: PathBuf,
+        /// Sizes to play of those in the scenario; all of them without it.
+        #[arg(long, value_delimiter = ',')]
+        gateways: Vec<usize>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The gateway's program.
+        #[arg(long, default_value = "target/release/sagearch")]
+        gateway: PathBuf,
+        /// The relay's program, where the scenario has relays.
+        #[arg(long, default_value = "target/release/sagearch-relay")]
+        relay: PathBuf,
+        /// Where plans, logs and records are put.
+        #[arg(long)]
+        out: Option<PathBuf>,
+        /// Where the result is put as JSON.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+    /// A process of hollow gateways of a scale run.
+    #[command(hide = true)]
+    Hollow {
+        #[arg(long)]
+        plan: PathBuf,
+    },
+    /// The event bus of a scale run.
+    #[command(hide = true)]
+    ScaleBus {
+        #[arg(long)]
+        plan: PathBuf,
+    },
     /// Takes the place of itself by a program that ends when the laboratory does.
     #[command(hide = true)]
     Leash {
@@ -126,10 +164,15 @@
     let gateway = gateway.canonicalize().map_err(|e| format!("{}: {e}", gateway.display()))?;
     let leash = std::env::current_exe().map_err(|e| e.to_string())?;
     let options = run::Options { gateway, leash, folder, seed };
+    in_runtime(run::run(scenario, options, tell))
+}
+
+/// Runs to the end, or until the laboratory is told to end.
+fn in_runtime<T>(work: impl Future<Output = Result<T, String>>) -> Result<T, String> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     runtime.map_err(|e| e.to_string())?.block_on(async {
         tokio::select! {
-            verdict = run::run(scenario, options, tell) => verdict,
+            done = work => done,
             _ = tokio::signal::ctrl_c() => Err("interrupted".into()),
             () = terminated() => Err("terminated".into()),
         }
@@ -156,6 +199,69 @@
     })
 }
 
+/// The sizes of a scenario that are asked for.
+fn only_sizes(scenario: &mut ScaleScenario, wanted: &[usize]) -> Result<(), String> {
+    let has = |gateways: &usize| scenario.sizes.iter().any(|size| size.gateways == *gateways);
+    if let Some(unknown) = wanted.iter().find(|gateways| !has(gateways)) {
+        return Err(format!("the scenario has no size of {unknown} gateways"));
+    }
+    if !wanted.is_empty() {
+        scenario.sizes.retain(|size| wanted.contains(&size.gateways));
+    }
+    Ok(())
+}
+
+struct ScaleOptions {
+    scenario: PathBuf,
+    gateways: Vec<usize>,
+    seed: u64,
+    gateway: PathBuf,
+    relay: PathBuf,
+    out: Option<PathBuf>,
+    json: Option<PathBuf>,
+}
+
+/// The program of that name; one that is not needed may lack.
+fn program(path: &Path, needed: bool) -> Result<PathBuf, String> {
+    match path.canonicalize() {
+        Ok(path) => Ok(path),
+        Err(_) if !needed => Ok(path.to_path_buf()),
+        Err(e) => Err(format!("{}: {e}", path.display())),
+    }
+}
+
+fn scale(options: ScaleOptions) -> Result<ExitCode, String> {
+    let name = options.scenario.to_string_lossy();
+    let mut scenario = scale::scenario::read(&name, &Disk).map_err(|faults| faults.to_string())?;
+    only_sizes(&mut scenario, &options.gateways)?;
+    for (size, takes) in scenario.sizes.iter().zip(scale::run::fits(&scenario)?) {
+        let Takes { processes, memory_mb, files, seconds } = takes;
+        say!(
+            "{} gateways: {processes} processes, about {memory_mb} MB, {files} descriptors, {seconds} s",
+            size.gateways
+        );
+    }
+    let programs = Programs {
+        own: std::env::current_exe().map_err(|e| e.to_string())?,
+        gateway: program(&options.gateway, true)?,
+        relay: program(&options.relay, scenario.relays.is_some())?,
+        folder: options.out.unwrap_or_else(|| own_folder(&options.scenario, options.seed)),
+        seed: options.seed,
+    };
+    let result = in_runtime(async {
+        let tell = |text| {
+            say!("{text}");
+        };
+        Ok(scale::run::run(&scenario, &programs, tell).await)
+    })?;
+    say!("{}", scale::report::summary(&result));
+    if let Some(path) = options.json {
+        let text = serde_json::to_string_pretty(&result).map_err(|e| e.to_string())?;
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(if result.holds() { ExitCode::SUCCESS } else { ExitCode::from(1) })
+}
+
 fn seeds_of(text: &str) -> Result<Vec<u64>, String> {
     let bad = || format!("{text:?} are no seeds like 1..5");
     let (first, last) = text.split_once("..").unwrap_or((text, text));
@@ -260,6 +366,16 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn hollow(plan: &Path) -> Result<ExitCode, String> {
+    scale::run::raise_descriptors();
+    scale::host::run(scale::plan::read(plan)?).map(|()| ExitCode::SUCCESS)
+}
+
+fn scale_bus(plan: &Path) -> Result<ExitCode, String> {
+    scale::run::raise_descriptors();
+    scale::bus::run(scale::plan::read(plan)?).map(|()| ExitCode::SUCCESS)
+}
+
 async fn terminated() {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
@@ -275,6 +391,11 @@
         Command::Diff { before, after, results } => diff(&before, &after, &results),
         Command::Shrink { scenario, seed, gateway, tries } => shrunk(&scenario, seed, &gateway, tries),
         Command::Plan { scenario, seed } => plan(&scenario, seed),
+        Command::Scale { scenario, gateways, seed, gateway, relay, out, json } => {
+            scale(ScaleOptions { scenario, gateways, seed, gateway, relay, out, json })
+        }
+        Command::Hollow { plan } => hollow(&plan),
+        Command::ScaleBus { plan } => scale_bus(&plan),
         Command::Leash { parent, program, arguments } => {
             Err(fleet::leash(parent, &program, &arguments).to_string())
         }
--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -155,7 +155,7 @@
 }
 
 /// The events up to now, by the bus's own call.
-fn fetch_known(bus: SocketAddr) -> io::Result<Vec<u8>> {
+pub fn fetch_known(bus: SocketAddr) -> io::Result<Vec<u8>> {
     let mut stream = TcpStream::connect_timeout(&bus, KNOWN_WITHIN)?;
     stream.set_read_timeout(Some(KNOWN_WITHIN))?;
     stream.write_all(b"GET /bus/known HTTP/1.1\r\nHost: bus\r\n\r\n")?;
@@ -247,7 +247,7 @@
     for told in &plan.gateways {
         let (gateway, hollow) = (told.gateway, start(&plan, told, &known)?);
         // What was known at its start is in force as it starts.
-        let line = HostLine::Started { gateway, at_us: unix_us(), offset: 0 };
+        let line = HostLine::Started { gateway, at_us: unix_us() };
         output.write(&line).map_err(|e| e.to_string())?;
         gateways.push(hollow);
     }
--- a/crates/lab/src/scale/layout.rs
+++ b/crates/lab/src/scale/layout.rs
@@ -69,9 +69,10 @@
         format!("gateway-r{}-s{}-{gateway}", self.region(gateway), self.site(gateway))
     }
 
-    /// All gateways of the region that the faults on links strike.
+    /// Gateways that the faults on links strike: the hollow ones of a region, as only these tell of their doubts.
     pub fn struck_region(&self) -> BTreeSet<usize> {
-        (0..self.gateways).filter(|gateway| self.region(*gateway) == STRUCK_REGION).collect()
+        let hollow = self.real.end..self.gateways;
+        hollow.filter(|gateway| self.region(*gateway) == STRUCK_REGION).collect()
     }
 
     /// Gateways of each zone.
--- a/crates/lab/src/scale/link.rs
+++ b/crates/lab/src/scale/link.rs
@@ -1,8 +1,8 @@
 //! Connections of gateways that pass through the laboratory: it can cut them, each way by itself, and reads in passing
 //! which events their pollers have in force.
 
+use super::observation::Traffic;
 use super::usage::unix_us;
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -16,7 +16,7 @@
 /// The part of a poll that acknowledges events.
 const ACKNOWLEDGES: &str = "from=";
 
-/// Which ways of a region's links are open.
+/// Which ways of links are open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Passing {
     /// From the gateways.
@@ -51,6 +51,19 @@
         }
     }
 
+    /// Polls and bytes so far. A poll that is held now has no answer yet.
+    pub fn traffic(&self) -> Traffic {
+        let requests = self.requests.load(Ordering::Relaxed);
+        Traffic {
+            requests,
+            answers: requests.saturating_sub(1),
+            failures: 0,
+            bytes_up: self.bytes_up.load(Ordering::Relaxed),
+            bytes_down: self.bytes_down.load(Ordering::Relaxed),
+            answer_segments: requests,
+        }
+    }
+
     /// The acknowledgements so far.
     pub fn steps(&self) -> Vec<(u64, u64)> {
         self.acknowledged.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -64,38 +77,30 @@
     rest.split(|next: char| !next.is_ascii_digit()).next()?.parse().ok()
 }
 
-/// All links of a run.
+/// Links that are opened and closed together.
 pub struct Links {
-    regions: BTreeMap<usize, watch::Sender<Passing>>,
+    passing: watch::Sender<Passing>,
 }
 
-impl Links {
-    /// Links of so many regions, all of them open.
-    pub fn new(regions: usize) -> Links {
-        Links { regions: (0..regions).map(|region| (region, watch::channel(Passing::ALL).0)).collect() }
+impl Default for Links {
+    /// Open both ways.
+    fn default() -> Links {
+        Links { passing: watch::channel(Passing::ALL).0 }
     }
+}
 
-    /// Opens or closes the links of a region.
-    pub fn set(&self, region: usize, passing: Passing) {
-        if let Some(sender) = self.regions.get(&region) {
-            sender.send_replace(passing);
-        }
+impl Links {
+    /// Opens or closes them.
+    pub fn set(&self, passing: Passing) {
+        self.passing.send_replace(passing);
     }
 
     /// Opens a listener whose connections go on to `to`, and says where it is. `watched`: whom it is for, where that is
     /// one gateway.
-    pub async fn open(
-        &self,
-        region: usize,
-        to: SocketAddr,
-        watched: Option<Arc<Watched>>,
-    ) -> io::Result<SocketAddr> {
+    pub async fn open(&self, to: SocketAddr, watched: Option<Arc<Watched>>) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let at = listener.local_addr()?;
-        let passing = match self.regions.get(&region) {
-            Some(sender) => sender.subscribe(),
-            None => return Err(io::Error::other(format!("no region {region}"))),
-        };
+        let passing = self.passing.subscribe();
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 tokio::spawn(connect(client, to, passing.clone(), watched.clone()));
--- a/crates/lab/src/scale/link/tests.rs
+++ b/crates/lab/src/scale/link/tests.rs
@@ -34,19 +34,19 @@
 
 #[tokio::test]
 async fn a_closed_way_holds_back_and_an_open_one_passes_on() {
-    let (links, watched) = (Links::new(2), Arc::new(Watched::default()));
-    let at = links.open(1, echo().await, Some(watched.clone())).await.unwrap();
+    let (links, watched) = (Links::default(), Arc::new(Watched::default()));
+    let at = links.open(echo().await, Some(watched.clone())).await.unwrap();
     let mut stream = TcpStream::connect(at).await.unwrap();
     let poll = b"GET /bus/read?from=5&hold=1 HTTP/1.1\r\n\r\n";
     let mut answer = vec![0; poll.len()];
     stream.write_all(poll).await.unwrap();
     stream.read_exact(&mut answer).await.unwrap();
     assert_eq!(answer, poll);
-    links.set(1, Passing { up: true, down: false });
+    links.set(Passing { up: true, down: false });
     stream.write_all(poll).await.unwrap();
     let held = tokio::time::timeout(Duration::from_millis(100), stream.read_exact(&mut answer)).await;
     assert!(held.is_err(), "nothing comes down");
-    links.set(1, Passing::ALL);
+    links.set(Passing::ALL);
     stream.read_exact(&mut answer).await.unwrap();
     assert_eq!((watched.steps().len(), watched.requests.load(Ordering::Relaxed)), (1, 2));
     assert_eq!(watched.bytes_down.load(Ordering::Relaxed), 2 * poll.len() as u64);
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod bus;
 pub mod cost;
+pub mod fleet;
 pub mod host;
 pub mod judge;
 pub mod layout;
@@ -13,6 +14,8 @@
 pub mod plan;
 pub mod process;
 pub mod real;
+pub mod record;
+pub mod relay;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/lab/src/scale/observation.rs
+++ b/crates/lab/src/scale/observation.rs
@@ -68,7 +68,7 @@
 #[serde(rename_all = "kebab-case")]
 pub enum HostLine {
     /// This gateway follows its feed from now on.
-    Started { gateway: usize, at_us: u64, offset: u64 },
+    Started { gateway: usize, at_us: u64 },
     /// Offsets, and when everything up to them was in force.
     InForce { gateway: usize, steps: Vec<(u64, u64)> },
     /// It did not trust its own copies between these times.
--- a/crates/lab/src/scale/process.rs
+++ b/crates/lab/src/scale/process.rs
@@ -36,7 +36,7 @@
     pub fn start(start: Start) -> io::Result<Process> {
         let log = std::fs::File::options().create(true).append(true).open(&start.log)?;
         let mut command = Command::new(start.leash);
-        command.args(["leash", &std::process::id().to_string()]).arg(start.program).arg("--");
+        command.args(["leash", &std::process::id().to_string()]).arg(start.program);
         command.args(&start.arguments).envs(start.environment);
         command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log).kill_on_drop(true);
         let mut child = command.spawn()?;
