--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -161,9 +161,10 @@
     ) -> Result<Fleet<'a>, String> {
         std::fs::create_dir_all(&folder).map_err(told("the size's folder"))?;
         let layout = Layout::new(&scenario.fleet, size);
+        let net = Net::take().map_err(told("addresses"))?;
         let (bus, bus_at) = start_bus(programs, scenario, &folder).await?;
         let relays = match scenario.relays {
-            Some(count) => Some(Relays::start(programs, &folder, count, bus_at).await?),
+            Some(count) => Some(Relays::start(programs, &net, &folder, count, bus_at).await?),
             None => None,
         };
         let straight = relays.as_ref().map_or(vec![bus_at], Relays::addresses);
@@ -179,7 +180,7 @@
             layout,
             links,
             real_links: Links::default(),
-            net: Net::take().map_err(told("addresses"))?,
+            net,
             bus,
             bus_at,
             relays,
