--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -129,6 +129,7 @@
     let (settings, names) =
         settings(layout::settings_in(&host.settings, &plan.zone)).map_err(|e| told(&e))?;
     let operators = operators(plan)?;
+    let leased = operators.feed.is_some();
     let config = ControlConfig {
         name: plan.name.clone(),
         seed: plan.seed,
@@ -142,7 +143,6 @@
         operators: Ok(operators),
     };
     let (clock, mut observer) = (Arc::new(OnceLock::new()), None);
-    let leased = plan.operators.as_deref().is_some_and(|text| text.contains("feed"));
     let control_side = ControlSide::start(config, |inner| {
         let watching = Arc::new(Observer::new(plan.gateway, inner, clock.clone(), leased));
         observer = Some(watching.clone());
