--- a/crates/lab/src/scale/host.rs
+++ b/crates/lab/src/scale/host.rs
@@ -8,11 +8,11 @@
 use super::plan::{HollowPlan, HostPlan};
 use super::usage::{Usage, unix_us};
 use sagearch::events::Batch;
-use sagearch::interface::Micros;
 use sagearch::net::clock::Clock;
 use sagearch::net::control_side::{ControlConfig, ControlSide};
 use sagearch::net::event_sink::EventSink;
 use sagearch::settings::settings;
+use sagearch_feed::lease::Lease;
 use sagearch_operators::{Anywhere, Operators};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -69,10 +69,13 @@
         }
     }
 
-    fn renew_freshness(&self, as_of: Micros, lasts: Micros) {
-        self.inner.renew_freshness(as_of, lasts);
-        let until_us = self.clock.wait().unix_us(as_of + lasts);
-        lock(&self.seen).fresh_again(unix_us(), until_us);
+    fn renew_freshness(&self, lease: Lease, revalidations: u32) {
+        let until = lease.until();
+        self.inner.renew_freshness(lease, revalidations);
+        if let Some(until) = until {
+            let until_us = self.clock.wait().unix_us(until);
+            lock(&self.seen).fresh_again(unix_us(), until_us);
+        }
     }
 
     fn out_of_descriptors(&self) {
