--- a/src/net/shared/mod.rs
+++ b/src/net/shared/mod.rs
@@ -112,6 +112,7 @@
     workers: usize,
     /// Its threads are to end.
     stopping: AtomicBool,
+    running: Arc<AtomicUsize>,
     random: AtomicU64,
 }
 
@@ -127,7 +128,7 @@
 }
 
 /// Starts the pool, where this gateway is one of the fleet's members. `listen`: where its datagrams come in, if that is
-/// not the address by which others know it. `running` counts its threads.
+/// not the address by which others know it.
 pub fn start(
     fleet: &Fleet,
     name: &str,
@@ -135,7 +136,6 @@
     clock: Clock,
     seed: u64,
     counted: Counted,
-    running: &Arc<AtomicUsize>,
 ) -> io::Result<Option<Started>> {
     let Some((at, me)) = fleet.members().find(|(_, member)| member.name == name) else {
         log::error!("fleet {:?} has no member {name:?}: this gateway shares nothing", fleet.name);
@@ -231,18 +231,21 @@
         work,
         workers: fleet.workers,
         stopping: AtomicBool::new(false),
+        running: Arc::default(),
         random: AtomicU64::new(seed),
     });
     let stack = |name: String| std::thread::Builder::new().name(name).stack_size(256 * 1024);
-    let (hearing, permit) = (shared.clone(), Permit::take(running, usize::MAX));
+    let (hearing, permit) = (shared.clone(), Permit::take(&shared.running, usize::MAX));
     stack("shared-ear".into()).spawn(move || {
-        let _permit = permit;
+        // Whoever sees that all have ended may open its socket anew.
+        let (_permit, hearing) = (permit, hearing);
         hearing.listen();
     })?;
     for worker in 0..fleet.workers {
-        let (shared, taken, permit) = (shared.clone(), taken.clone(), Permit::take(running, usize::MAX));
+        let (shared, taken, permit) =
+            (shared.clone(), taken.clone(), Permit::take(&shared.running, usize::MAX));
         stack(format!("shared-{worker}")).spawn(move || {
-            let _permit = permit;
+            let (_permit, shared) = (permit, shared);
             shared.run(&taken, worker == 0);
         })?;
     }
@@ -755,6 +758,11 @@
         let _ = self.work.try_send(Work::Leave);
     }
 
+    /// Whether all of its threads have ended.
+    pub fn ended(&self) -> bool {
+        self.running.load(Ordering::SeqCst) == 0
+    }
+
     /// Has its threads end. What it holds lapses, unless it was given back before.
     pub fn stop(&self) {
         self.stopping.store(true, Ordering::SeqCst);
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -152,6 +152,18 @@
     assert!(!broker.may_send(3 * MS, &waits));
 }
 
+/// A process that was stopped: its attempts are overdue, and purges have been dropped as older than any in time.
+#[test]
+fn an_overdue_attempt_is_not_written_as_its_purge_may_have_been_dropped() {
+    let mut broker = broker();
+    let overdue = attempt(broker.pick(0, request(1, 0), Caller::anonymous(), Told::default()));
+    broker.purged(SECOND, Some("a".into()), None, 0);
+    broker.purged(10 * SECOND, Some("o".into()), None, 0);
+    assert!(!broker.may_send(10 * SECOND, &overdue));
+    let new = attempt(broker.pick(10 * SECOND, request(2, 0), Caller::anonymous(), Told::default()));
+    assert!(broker.may_send(10 * SECOND, &new));
+}
+
 const LASTS: Micros = 1_700 * MS;
 
 fn lease(as_of: Option<Micros>) -> Lease {
@@ -168,7 +180,7 @@
 fn in_doubt_copies_from_before_a_moving_floor_will_not_do() {
     let mut broker = broker();
     broker.renew_freshness(0, lease(None), 1_000);
-    let mut limit_at = |broker: &mut Broker<Told>, now, id| {
+    let limit_at = |broker: &mut Broker<Told>, now, id| {
         limit(&attempt(broker.pick(now, request(id, 0), Caller::anonymous(), Told::default())))
     };
     assert_eq!(limit_at(&mut broker, 0, 1), Some(1), "nothing has been heard yet");
