--- /dev/null
+++ b/crates/lab/src/lives/tests.rs
@@ -0,0 +1,35 @@
+use super::*;
+use rstest::rstest;
+
+#[derive(Clone, Copy)]
+enum Turn {
+    Begin(usize, Blow),
+    End(usize),
+}
+use Turn::{Begin, End};
+
+#[rstest]
+#[case::killed(&[Begin(1, Blow::Kill), End(1)], &[ProcessAction::Kill, ProcessAction::Start])]
+#[case::killed_twice(&[Begin(1, Blow::Kill), Begin(2, Blow::Kill), End(1), End(2)], &[ProcessAction::Kill, ProcessAction::Start])]
+#[case::killed_while_stopped(&[Begin(1, Blow::Stop), Begin(2, Blow::Kill), End(2), End(1)],
+    &[ProcessAction::Stop, ProcessAction::Kill, ProcessAction::Start, ProcessAction::Stop, ProcessAction::Continue])]
+#[case::stopped_while_down(&[Begin(1, Blow::Kill), Begin(2, Blow::Stop), End(2), End(1)],
+    &[ProcessAction::Kill, ProcessAction::Start])]
+#[case::stops_whose_ends_cross(&[Begin(1, Blow::Stop), Begin(2, Blow::Stop), End(1), End(2)],
+    &[ProcessAction::Stop, ProcessAction::Continue])]
+#[case::terminated_while_stopped(&[Begin(1, Blow::Stop), Begin(2, Blow::Term), End(1), End(2)],
+    &[ProcessAction::Stop, ProcessAction::Terminate, ProcessAction::Continue, ProcessAction::Start])]
+#[case::hung_up(&[Begin(1, Blow::Hup), Begin(2, Blow::Kill), Begin(3, Blow::Hup), End(2)],
+    &[ProcessAction::Hangup, ProcessAction::Kill, ProcessAction::Start])]
+fn blows_overlap(#[case] turns: &[Turn], #[case] actions: &[ProcessAction]) {
+    let mut faults = ActiveFaults::default();
+    let taken: Vec<ProcessAction> = turns
+        .iter()
+        .flat_map(|turn| match turn {
+            Begin(number, blow) => faults.begin(*number, *blow),
+            End(number) => faults.end(*number),
+        })
+        .collect();
+    assert_eq!(taken, actions);
+    assert_eq!(faults.state(), ProcessState::Running);
+}
--- /dev/null
+++ b/src/net/shared/homes/tests.rs
@@ -0,0 +1,20 @@
+use super::*;
+
+#[test]
+fn a_missing_majority_is_reported_once_after_the_grace_and_so_is_its_return() {
+    let mut watch = MajorityWatch::default();
+    assert_eq!(watch.update(10, true, 30), None);
+    assert_eq!(watch.update(39, true, 30), None);
+    assert_eq!(watch.update(40, true, 30), Some(MajorityChange::Lost));
+    assert_eq!(watch.update(90, true, 30), None);
+    assert_eq!(watch.update(91, false, 30), Some(MajorityChange::Regained));
+    assert_eq!(watch.update(92, false, 30), None);
+}
+
+#[test]
+fn a_majority_that_is_back_within_the_grace_is_not_reported() {
+    let mut watch = MajorityWatch::default();
+    assert_eq!(watch.update(10, true, 30), None);
+    assert_eq!(watch.update(20, false, 30), None);
+    assert_eq!(watch.update(40, true, 30), None, "counted anew");
+}
--- /dev/null
+++ b/src/net/shared/wire/tests.rs
@@ -0,0 +1,82 @@
+use super::*;
+use rstest::rstest;
+use sagearch_homes::message::{MAX_CLAIMS, MAX_DENIALS, MAX_SLICES};
+use sagearch_homes::{ClaimStatus, Region};
+
+const LAST: Slice = Slice(4_095);
+const CLAIM: Claim =
+    Claim { term: 1 << 40, region: Region(31), epoch: 1 << 53, incarnation: 1 << 53, handed_over: true };
+
+fn told() -> Claims {
+    Claims(vec![ClaimStatus { slice: LAST, claim: CLAIM, age: Some(100_000) }; MAX_CLAIMS])
+}
+
+/// With numbers as large as they come in some hundred years.
+#[rstest]
+#[case::alive(Body::Alive(vec![7; MAX_PAYLOAD]))]
+#[case::request(Body::Lease(LeaseMessage::Request { round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES] }))]
+#[case::granted(Body::Lease(LeaseMessage::Granted {
+    to: 1 << 53, round: u32::MAX, epoch: 1 << 53, slices: vec![LAST; MAX_SLICES]
+}))]
+#[case::denied(Body::Lease(LeaseMessage::Denied { round: u32::MAX, known: vec![(LAST, 1 << 53); MAX_DENIALS] }))]
+#[case::fence(Body::Fence(told()))]
+#[case::claims(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::Claims(told()) })]
+#[case::lent(Body::Remote { from: 999, incarnation: 1 << 53, forwarded: true, message: RemoteMessage::LoanGranted(Loan {
+    budget: 9, number: u32::MAX, claim: CLAIM, rate: u64::MAX, issued: u64::MAX
+}) })]
+#[case::grant(Body::Grant {
+    budget: 9,
+    authority: GrantAuthority { slice: LAST, epoch: 1 << 53, claim: Some(CLAIM) },
+    grant: Grant { to: 1 << 53, number: u32::MAX, amount: u64::MAX },
+})]
+fn the_largest_of_each_fits_and_comes_back(#[case] body: Body) {
+    let bytes = encode(7, 1 << 53, body.clone()).unwrap();
+    assert_eq!(decode(7, &bytes).unwrap().body, body);
+    assert_eq!(decode(8, &bytes), Err(DatagramError::OtherFleet));
+    assert_eq!(decode(7, &bytes[..bytes.len() - 1]), Err(DatagramError::Unreadable));
+    let mut longer = bytes.clone();
+    longer.push(0);
+    assert!(decode(7, &longer).is_err());
+    let mut other = bytes;
+    other[0] = 2;
+    assert_eq!(decode(7, &other), Err(DatagramError::OtherVersion));
+}
+
+const SMALL: Claim = Claim { term: 3, region: Region(5), epoch: 6, incarnation: 8, handed_over: true };
+
+/// Gateways of two versions of this program speak to each other: the bytes stay as long as `VERSION` does.
+#[rstest]
+#[case::alive(Body::Alive(vec![7, 8]), &[0, 2, 7, 8])]
+#[case::request_lease(Body::Lease(LeaseMessage::Request { round: 2, epoch: 300, slices: vec![Slice(4)] }), &[1, 0, 2, 172, 2, 1, 4])]
+#[case::granted(Body::Lease(LeaseMessage::Granted { to: 9, round: 2, epoch: 6, slices: vec![Slice(4)] }), &[1, 1, 9, 2, 6, 1, 4])]
+#[case::denied(Body::Lease(LeaseMessage::Denied { round: 2, known: vec![(Slice(4), 6)] }), &[1, 2, 2, 1, 4, 6])]
+#[case::released(Body::Lease(LeaseMessage::Released { epoch: 6, slices: vec![Slice(4)] }), &[1, 3, 6, 1, 4])]
+#[case::fence(Body::Fence(Claims(vec![ClaimStatus { slice: Slice(4), claim: SMALL, age: Some(9) }])), &[2, 1, 4, 3, 5, 6, 8, 1, 1, 9])]
+#[case::claims(Body::Remote { from: 9, incarnation: 10, forwarded: false, message: RemoteMessage::Claims(Claims(vec![])) }, &[3, 9, 10, 0, 0, 0])]
+#[case::want(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanRequest(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 1, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+#[case::lent(Body::Remote { from: 9, incarnation: 10, forwarded: true, message: RemoteMessage::LoanGranted(Loan { budget: 1, number: 2, claim: SMALL, rate: 7, issued: 12 }) }, &[3, 9, 10, 1, 2, 1, 2, 3, 5, 6, 8, 1, 7, 12])]
+#[case::request(Body::GrantRequest { budget: 1, request: GrantRequest { number: 2, want: 7 } }, &[4, 1, 2, 7])]
+#[case::grant(Body::Grant {
+    budget: 1,
+    authority: GrantAuthority { slice: Slice(4), epoch: 6, claim: Some(SMALL) },
+    grant: Grant { to: 10, number: 2, amount: 7 },
+}, &[5, 1, 4, 6, 1, 3, 5, 6, 8, 1, 10, 2, 7])]
+fn the_bytes_of_a_version_stay(#[case] body: Body, #[case] bytes: &[u8]) {
+    let head = [VERSION, 7, 11];
+    assert_eq!(encode(7, 11, body).unwrap(), [&head, bytes].concat());
+}
+
+#[test]
+fn any_bytes_are_read_or_not_and_never_a_panic() {
+    let mut random = 1_u64;
+    for length in 0..3_000_usize {
+        let mut bytes: Vec<u8> = (0..length % 260)
+            .map(|_| {
+                random = crate::hash::mix(random.wrapping_add(0x9e37_79b9_7f4a_7c15));
+                random as u8
+            })
+            .collect();
+        bytes.iter_mut().take(1).for_each(|first| *first = VERSION);
+        let _ = decode(7, &bytes);
+    }
+}
