--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -234,3 +234,34 @@
     assert!(refused.contains("503"), "{refused}");
     assert!(TcpStream::connect(address).await.is_err(), "it still listens");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn two_thousand_held_polls_share_one_body() {
+    const POLLS: usize = 2_000;
+    rlimit::increase_nofile_limit(16_384).unwrap();
+    let bus = Bus::start(Some("feed-a")).await;
+    let relay = start(&relay_file("r1", &[bus.address], "per-address=3000"));
+    Subscriber::new(relay.address, "g1").catch_up(1).await;
+    let mut streams = Vec::new();
+    for _ in 0..POLLS {
+        let mut stream = TcpStream::connect(relay.address).await.unwrap();
+        let poll =
+            b"GET /bus/read?from=1&hold=30000&feed=feed-a HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+        tokio::io::AsyncWriteExt::write_all(&mut stream, poll).await.unwrap();
+        streams.push(stream);
+    }
+    let status = async || get_json(relay.address, "/feed/status").await;
+    until("all polls held", async || status().await["held_polls"] == POLLS).await;
+    let bodies = async || status().await["counters"]["bodies"].as_u64().unwrap();
+    let before = bodies().await;
+
+    bus.drain("store-1");
+    let mut told = std::collections::HashSet::new();
+    for mut stream in streams {
+        let answer = raw(&mut stream, "").await;
+        told.insert(parts(&answer).1.to_string());
+    }
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told.iter().all(|body| body.contains("draining")), "{told:?}");
+    assert_eq!(bodies().await, before + 1);
+}
