--- a/crates/lab/src/scale/judge.rs
+++ b/crates/lab/src/scale/judge.rs
@@ -110,8 +110,14 @@
     /// No process of the gateway that lacked it was there.
     Unseen,
     Early(u64),
-    InForce { after: u64, in_doubt: bool },
-    Missing { after: u64, in_doubt: bool },
+    InForce {
+        after: u64,
+        in_doubt: bool,
+    },
+    Missing {
+        after: u64,
+        in_doubt: bool,
+    },
 }
 
 /// The last moment of a span at which there was no doubt.
--- a/crates/lab/src/scale/judge/tests.rs
+++ b/crates/lab/src/scale/judge/tests.rs
@@ -82,11 +82,8 @@
         steps: purges.iter().map(|it| Step { offset: it.offset, at: it.issued + delay }).collect(),
         doubts: Vec::new(),
     };
-    let fault = Stretch {
-        name: "cut".into(),
-        issued: span(5 * SECOND, 10 * SECOND),
-        struck: BTreeSet::from([2]),
-    };
+    let fault =
+        Stretch { name: "cut".into(), issued: span(5 * SECOND, 10 * SECOND), struck: BTreeSet::from([2]) };
     let first = Stretch { issued: span(0, 5 * SECOND), ..calm() };
     let lives = [follower(1, 1_000), follower(2, 3 * SECOND)];
     let judged = judge(&[first, fault], &purges, &lives, BOUND);
--- a/crates/lab/src/slopes/bank.rs
+++ b/crates/lab/src/slopes/bank.rs
@@ -5,9 +5,9 @@
 use super::figure::{Figure, Load, Traffic, Unit};
 use super::memory::growth_of;
 use super::processor::Stopwatch;
-use sagearch::net::shared::wire::{self, Body, Under};
+use sagearch::net::shared::wire::{self, Body, GrantAuthority};
 use sagearch_homes::Slice;
-use sagearch_ledger::{Ask, Bank, Budget, Grant, Micros, Purse, Terms, UNIT};
+use sagearch_ledger::{Bank, Budget, Grant, GrantRequest, Micros, Purse, Terms, UNIT};
 
 /// The defaults of a budget in the operators' file, with an amount of 1,000 calls.
 const BUDGET: Budget = Budget { amount: 1_000 * UNIT, window: 10_000_000, overdraft: 250, floors: 50 };
@@ -19,7 +19,7 @@
 const EXPECTED: usize = 2;
 const FLEET: u32 = 7;
 const INCARNATION: u64 = 1_796_000_000_000_000;
-const UNDER: Under = Under { slice: Slice(200), epoch: INCARNATION, claim: None };
+const AUTHORITY: GrantAuthority = GrantAuthority { slice: Slice(200), epoch: INCARNATION, claim: None };
 
 struct Market {
     bank: Bank,
@@ -47,8 +47,8 @@
         for (number, purse) in self.purses.iter_mut().enumerate() {
             (0..EXPECTED).for_each(|_| purse.expect(now));
             purse.spend(now, |_| false);
-            if let Some(ask) = purse.ask(now) {
-                asks.push((number, encode(number, Body::Ask { budget: 0, ask })?));
+            if let Some(request) = purse.request(now) {
+                asks.push((number, encode(number, Body::GrantRequest { budget: 0, request })?));
             }
         }
         asks.iter().for_each(|(_, bytes)| self.incoming.add(bytes.len()));
@@ -57,7 +57,7 @@
         for (number, grant, bytes) in answers {
             self.outgoing.add(bytes.len());
             self.granted += grant.amount;
-            self.purses[number].take(now, grant, UNDER.slice);
+            self.purses[number].receive(now, grant, AUTHORITY.slice);
         }
         Ok(())
     }
@@ -73,17 +73,17 @@
     for (number, bytes) in asks {
         let ask = ask_in(bytes)?;
         let asker = (*number as u16, INCARNATION + *number as u64);
-        if let Some(grant) = bank.ask(now, asker, ask) {
-            let answer = encode(0, Body::Grant { budget: 0, under: UNDER, grant })?;
+        if let Some(grant) = bank.grant(now, asker, ask) {
+            let answer = encode(0, Body::Grant { budget: 0, authority: AUTHORITY, grant })?;
             answers.push((*number, grant, answer));
         }
     }
     Ok(answers)
 }
 
-fn ask_in(bytes: &[u8]) -> Result<Ask, Failure> {
+fn ask_in(bytes: &[u8]) -> Result<GrantRequest, Failure> {
     match wire::decode(FLEET, bytes).map_err(|e| Failure::Refused(e.label().into()))?.body {
-        Body::Ask { ask, .. } => Ok(ask),
+        Body::GrantRequest { request, .. } => Ok(request),
         _ => Err(Failure::NotReached("an ask is read as one")),
     }
 }
@@ -124,7 +124,7 @@
     let (bank, growth) = growth_of(|| {
         let mut bank = Bank::new(terms, 0);
         for number in 0..purses {
-            bank.ask(1, (number as u16, INCARNATION), Ask { number: 1, want: UNIT });
+            bank.grant(1, (number as u16, INCARNATION), GrantRequest { number: 1, want: UNIT });
         }
         bank
     });
--- a/crates/lab/src/slopes/leases.rs
+++ b/crates/lab/src/slopes/leases.rs
@@ -7,7 +7,7 @@
 use super::memory::growth_of;
 use super::processor::Stopwatch;
 use sagearch::net::shared::wire::{self, Body};
-use sagearch_homes::message::{Leases, Sender};
+use sagearch_homes::message::{LeaseMessage, Sender};
 use sagearch_homes::{Holder, Member, Micros, Rules};
 use std::collections::BTreeSet;
 
@@ -44,7 +44,7 @@
 
 /// Spreads retries, the same in each repeat.
 fn chance(number: usize, now: Micros) -> f64 {
-    let mixed = sagearch_homes::place::mix(now ^ ((number as u64) << 40));
+    let mixed = sagearch_homes::placement::mix(now ^ ((number as u64) << 40));
     mixed as f64 / u64::MAX as f64
 }
 
@@ -55,7 +55,7 @@
             let others = (0..members).filter(|other| *other != number).map(|other| Member(other as u16));
             let me = sender(number as usize);
             let mut holder = Holder::new(RULES, me, vec![voters.clone()], 0, INCARNATION);
-            holder.alive(others.collect());
+            holder.set_alive(others.collect());
             holder
         };
         Region {
@@ -99,7 +99,7 @@
         let Body::Lease(message) = read.body else { continue };
         let number = usize::from(datagram.to.0);
         let mut answers = sagearch_homes::message::Out::new();
-        holders[number].hear(now, datagram.from, &message, &mut answers);
+        holders[number].receive(now, datagram.from, &message, &mut answers);
         // A gateway looks when it is due again after each datagram.
         holders[number].next(now);
         send(number, answers, out)?;
@@ -122,7 +122,7 @@
 fn send(from: usize, messages: sagearch_homes::message::Out, out: &mut Vec<Datagram>) -> Result<(), Failure> {
     let from = sender(from);
     for (to, message) in messages {
-        let asks = matches!(message, Leases::Ask { .. });
+        let asks = matches!(message, LeaseMessage::Request { .. });
         let bytes = wire::encode(FLEET, from.incarnation, Body::Lease(message))
             .map_err(|e| Failure::Refused(e.label().into()))?;
         out.push(Datagram { to, from, bytes, asks });
--- a/crates/lab/src/slopes/popularity.rs
+++ b/crates/lab/src/slopes/popularity.rs
@@ -76,7 +76,7 @@
     let report = |number: u64| Report {
         interval: 0,
         number: (number % REPORTS_EACH) as u8,
-        counts: (0..COUNTS).map(|at| (sagearch_homes::place::mix(number * COUNTS + at), 1)).collect(),
+        counts: (0..COUNTS).map(|at| (sagearch_homes::placement::mix(number * COUNTS + at), 1)).collect(),
     };
     let first = places.div_ceil(COUNTS);
     let gateway = |number: u64| (number / REPORTS_EACH) as u16;
--- a/crates/lab/src/slopes/principals.rs
+++ b/crates/lab/src/slopes/principals.rs
@@ -7,8 +7,8 @@
 use super::memory::growth_of;
 use super::processor::Stopwatch;
 use super::{Failure, REGIONS};
-use sagearch::net::shared::wire::{self, Body, Far};
-use sagearch_homes::{Claims, Epoch, Member, Micros, Principals, Region, Slice, Told, place};
+use sagearch::net::shared::wire::{self, Body, RemoteMessage};
+use sagearch_homes::{ClaimStatus, Claims, Epoch, Member, Micros, Principals, Region, Slice, placement};
 use std::collections::BTreeMap;
 
 /// The default of `claim` in the operators' file.
@@ -111,10 +111,10 @@
     fn hear(&mut self, now: Micros, datagram_in: Datagram, out: &mut Vec<Datagram>) -> Result<(), Failure> {
         let Datagram { to, origin, handed_on, bytes } = datagram_in;
         let read = wire::decode(FLEET, &bytes).map_err(|e| Failure::Refused(e.label().into()))?;
-        let Body::Far { far: Far::Claims(claims), .. } = read.body else { return Ok(()) };
+        let Body::Remote { message: RemoteMessage::Claims(claims), .. } = read.body else { return Ok(()) };
         let from = self.gateways[origin].region;
         let gateway = &mut self.gateways[to];
-        let (answer, _) = gateway.principals.hear(now, from, &claims);
+        let (answer, _) = gateway.principals.receive(now, from, &claims);
         if let Some(answer) = answer {
             out.push(datagram(origin, to, false, answer)?);
         }
@@ -122,7 +122,7 @@
             return Ok(());
         }
         let homes = &self.homes[usize::from(gateway.region.0)];
-        let mut by_home: BTreeMap<usize, Vec<Told>> = BTreeMap::new();
+        let mut by_home: BTreeMap<usize, Vec<ClaimStatus>> = BTreeMap::new();
         for told in claims.0 {
             by_home.entry(homes[usize::from(told.slice.0)]).or_default().push(told);
         }
@@ -151,14 +151,14 @@
     let all = || (first..first + members).map(|number| Member(number as u16));
     RULES
         .all()
-        .map(|slice| place::member(slice, all()).map_or(first, |member| usize::from(member.0)))
+        .map(|slice| placement::member(slice, all()).map_or(first, |member| usize::from(member.0)))
         .collect()
 }
 
 fn datagram(to: usize, origin: usize, handed_on: bool, claims: Claims) -> Result<Datagram, Failure> {
     let incarnation = INCARNATION + origin as u64;
-    let far = Far::Claims(claims);
-    let body = Body::Far { from: origin as u16, incarnation, handed_on, far };
+    let message = RemoteMessage::Claims(claims);
+    let body = Body::Remote { from: origin as u16, incarnation, forwarded: handed_on, message };
     let bytes = wire::encode(FLEET, incarnation, body).map_err(|e| Failure::Refused(e.label().into()))?;
     Ok(Datagram { to, origin, handed_on, bytes })
 }
