--- a/tests/feed.rs
+++ b/tests/feed.rs
@@ -361,3 +361,23 @@
     wait_for("the others have heard", || hosted.iter().all(|one| one.counters().events.get() == 2));
     assert!(stopped.iter().all(|one| one.counters().events.get() == 1));
 }
+
+/// Threads of shared state and of the control follower end as well, and leave the address to the next run.
+#[test]
+fn a_hosted_member_of_a_fleet_restarts_at_its_address() {
+    let at = std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let file = format!(
+        "control without-version=\"serve\" roots=\"none.pem\" certificate=\"none.pem\" key=\"none.key\" {{\n\
+         address \"127.0.0.1:1\" name=\"control\"\n}}\n\
+         fleet \"f\" {{\nregion \"east\" {{\nmember \"hosted\" \"{at}\"\n}}\nbudget \"origin\" amount=400\n}}\n"
+    );
+    let bus = Bus::default();
+    for _ in 0..3 {
+        let control_side = ControlSide::start(control_config("hosted", &bus, &file), |inner| inner).unwrap();
+        control_side.tick();
+        assert!(std::net::UdpSocket::bind(at).is_err(), "it listens there");
+        control_side.leave_fleet();
+        control_side.stop();
+        assert!(control_side.stopped_within(Duration::from_secs(1)));
+    }
+}
