Scale run: a purge on its way as a fault strikes is judged with that fault

Cause: at 2,200 gateways without relays 988 purges issued just before the cut counted as late in the stretch before it. Change: a fault's stretch begins the bound before it strikes.

--- a/crates/lab/src/scale/judge.rs
+++ b/crates/lab/src/scale/judge.rs
@@ -56,6 +56,32 @@
     pub struck: BTreeSet<usize>,
 }
 
+/// A fault, from when it strikes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Struck {
+    pub name: String,
+    pub from: Micros,
+    pub gateways: BTreeSet<usize>,
+}
+
+/// The stretches of a run: a calm one, and one for each fault, in their order, up to the next one. A purge that was issued
+/// within the bound before a fault may still be on its way as that strikes, and so is judged with it.
+pub fn stretches(calm_from: Micros, faults: &[Struck], until: Micros, bound: u64) -> Vec<Stretch> {
+    let begins: Vec<Micros> = faults.iter().map(|fault| fault.from.saturating_sub(bound)).collect();
+    let end_of = |place: usize| begins.get(place).copied().unwrap_or(until);
+    let calm = Stretch {
+        name: "calm".into(),
+        issued: Span { from: calm_from, until: end_of(0) },
+        struck: BTreeSet::new(),
+    };
+    let of_fault = |(place, fault): (usize, &Struck)| Stretch {
+        name: fault.name.clone(),
+        issued: Span { from: begins[place], until: end_of(place + 1) },
+        struck: fault.gateways.clone(),
+    };
+    std::iter::once(calm).chain(faults.iter().enumerate().map(of_fault)).collect()
+}
+
 /// What a finding is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/lab/src/scale/judge/tests.rs
+++ b/crates/lab/src/scale/judge/tests.rs
@@ -73,6 +73,18 @@
     assert_eq!((rules(&judged), judged.others.in_doubt), (found.to_vec(), in_doubt));
 }
 
+#[test]
+fn a_purge_on_its_way_as_a_fault_strikes_is_judged_with_it() {
+    let fault = |name: &str, from| Struck { name: name.into(), from, gateways: BTreeSet::from([7]) };
+    let faults = [fault("stop", 10 * SECOND), fault("cut", 20 * SECOND)];
+    let stretches = stretches(SECOND, &faults, 30 * SECOND, BOUND);
+    let spans: Vec<Span> = stretches.iter().map(|stretch| stretch.issued).collect();
+    let (stop, cut) = (10 * SECOND - BOUND, 20 * SECOND - BOUND);
+    assert_eq!(spans, [span(SECOND, stop), span(stop, cut), span(cut, 30 * SECOND)]);
+    let struck: Vec<usize> = stretches.iter().map(|stretch| stretch.struck.len()).collect();
+    assert_eq!(struck, [0, 1, 1]);
+}
+
 #[test]
 fn times_are_by_stretch_and_by_whom_the_fault_struck() {
     let purges: Vec<Purge> = (0..100).map(|at| Purge { offset: at + 1, issued: at * 100_000 }).collect();
