--- a/crates/lab/src/scale/fleet.rs
+++ b/crates/lab/src/scale/fleet.rs
@@ -402,7 +402,8 @@
             readings.push(read);
         }
         let (_, empty_host) = read_host(&Ended { output: self.empty.output, until_us })?;
-        let bus = observation::read_lines(&self.folder.join("bus.jsonl")).map_err(told("the bus's record"))?;
+        let bus =
+            observation::read_lines(&self.folder.join("bus.jsonl")).map_err(told("the bus's record"))?;
         Ok(Shown { lives, bus, hosts: readings, empty_host, wrong_ends })
     }
 }
--- a/crates/lab/src/scale/observation.rs
+++ b/crates/lab/src/scale/observation.rs
@@ -68,14 +68,27 @@
 #[serde(rename_all = "kebab-case")]
 pub enum HostLine {
     /// This gateway follows its feed from now on.
-    Started { gateway: usize, at_us: u64 },
+    Started {
+        gateway: usize,
+        at_us: u64,
+    },
     /// Offsets, and when everything up to them was in force.
-    InForce { gateway: usize, steps: Vec<(u64, u64)> },
+    InForce {
+        gateway: usize,
+        steps: Vec<(u64, u64)>,
+    },
     /// It did not trust its own copies between these times.
-    Doubt { gateway: usize, from_us: u64, until_us: u64 },
+    Doubt {
+        gateway: usize,
+        from_us: u64,
+        until_us: u64,
+    },
     Usage(Usage),
     /// Of all its gateways.
-    Traffic { at_us: u64, traffic: Traffic },
+    Traffic {
+        at_us: u64,
+        traffic: Traffic,
+    },
 }
 
 /// A line of the event bus.
