--- a/crates/lab/src/scale/bus.rs
+++ b/crates/lab/src/scale/bus.rs
@@ -248,7 +248,10 @@
     async fn issue_purges(self: Arc<Self>, plan: BusPlan, mut issuing: watch::Receiver<bool>) {
         let mut random = StdRng::seed_from_u64(plan.seed);
         let mut due = Instant::now();
-        while plan.purges_per_second > 0.0 {
+        if plan.purges_per_second <= 0.0 {
+            return;
+        }
+        loop {
             if wait_to_issue(&mut issuing).await {
                 due = Instant::now();
             }
@@ -261,7 +264,10 @@
     /// Changes the list of stores while it is told to.
     async fn issue_lists(self: Arc<Self>, plan: BusPlan, mut issuing: watch::Receiver<bool>) {
         let mut random = StdRng::seed_from_u64(!plan.seed);
-        while plan.list_changes_per_second > 0.0 {
+        if plan.list_changes_per_second <= 0.0 {
+            return;
+        }
+        loop {
             wait_to_issue(&mut issuing).await;
             tokio::time::sleep(pause(&mut random, plan.list_changes_per_second, plan.poisson)).await;
             self.change_list(&mut random);
