--- a/crates/lab/src/scale/cost.rs
+++ b/crates/lab/src/scale/cost.rs
@@ -144,6 +144,48 @@
     }
 }
 
+/// What events cost hollow and real gateways, next to one another.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Of a core, beyond what a gateway takes without events.
+    pub hollow_core: f64,
+    pub real_core: f64,
+    pub hollow_kb_per_second: f64,
+    pub real_kb_per_second: f64,
+}
+
+/// By how much two figures may differ and still stand for one another.
+const ALIKE: f64 = 0.2;
+
+fn alike(one: f64, other: f64) -> bool {
+    (one - other).abs() <= ALIKE * other.abs()
+}
+
+impl Comparison {
+    /// From costs without events and with them. `None`: one of the roles was not measured.
+    pub fn between(quiet: &[Cost], busy: &[Cost]) -> Option<Comparison> {
+        let of = |costs: &[Cost], role| costs.iter().find(|cost| cost.role == role).cloned();
+        let events = |role| Some(of(busy, role)?.rates.core - of(quiet, role)?.rates.core);
+        let traffic = |role| of(busy, role)?.traffic_kb_per_second;
+        Some(Comparison {
+            hollow_core: events(Role::HollowGateway)?,
+            real_core: events(Role::RealGateway)?,
+            hollow_kb_per_second: traffic(Role::HollowGateway)?,
+            real_kb_per_second: traffic(Role::RealGateway)?,
+        })
+    }
+
+    /// Whether the traffic of a hollow gateway stands for that of a real one.
+    pub fn traffic_alike(&self) -> bool {
+        alike(self.hollow_kb_per_second, self.real_kb_per_second)
+    }
+
+    /// The same of processor time. Hollow gateways of one process share its wake-ups, real ones share nothing.
+    pub fn core_alike(&self) -> bool {
+        alike(self.hollow_core, self.real_core)
+    }
+}
+
 /// How one figure of a role grows with the number of gateways.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Growth {
--- a/crates/lab/src/scale/cost/tests.rs
+++ b/crates/lab/src/scale/cost/tests.rs
@@ -50,3 +50,18 @@
     let core = growth.iter().find(|it| it.figure == "core").unwrap();
     assert!((core.line.slope - 0.001).abs() < 1e-9 && core.line.residual < 1e-9);
 }
+
+#[test]
+fn hollow_and_real_gateways_are_alike_within_a_fifth() {
+    let cost = |role, core, kb| Cost {
+        traffic_kb_per_second: Some(kb),
+        ..Cost::of(role, 1, Rates { core, ..Rates::default() })
+    };
+    let quiet = [cost(Role::HollowGateway, 0.001, 1.0), cost(Role::RealGateway, 0.010, 1.0)];
+    let busy = [cost(Role::HollowGateway, 0.002, 8.1), cost(Role::RealGateway, 0.014, 10.0)];
+    let compared = Comparison::between(&quiet, &busy).unwrap();
+    assert!(compared.traffic_alike() && !compared.core_alike(), "{compared:?}");
+    let less = Comparison { hollow_kb_per_second: 7.9, hollow_core: 0.0035, real_core: 0.004, ..compared };
+    assert!(!less.traffic_alike() && less.core_alike(), "{less:?}");
+    assert_eq!(Comparison::between(&quiet[..1], &busy), None);
+}
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -1,6 +1,6 @@
 //! A scale run as text, for who looks on.
 
-use super::cost::{Cost, Growth};
+use super::cost::{Comparison, Cost, Growth};
 use super::judge::{Judged, Times};
 use super::run::{Costs, RunResult, SizeResult};
 use super::scenario::Need;
@@ -55,6 +55,20 @@
     let _ = writeln!(text, "  {:<6} the whole machine was {busy:.0}% busy", costs.stretch);
 }
 
+fn comparison(text: &mut String, compared: &Comparison) {
+    let word = |alike: bool| if alike { "alike within 20%" } else { "NOT alike within 20%" };
+    let _ = writeln!(
+        text,
+        "  hollow against real: traffic {:.2} and {:.2} KB/s, {}; events take {:.3}% and {:.3}% of a core, {}",
+        compared.hollow_kb_per_second,
+        compared.real_kb_per_second,
+        word(compared.traffic_alike()),
+        compared.hollow_core * 100.0,
+        compared.real_core * 100.0,
+        word(compared.core_alike())
+    );
+}
+
 /// What one size has shown.
 pub fn size(size: &SizeResult, need: &Need) -> String {
     let mut text = format!(
@@ -71,6 +85,7 @@
         "  cost   of one          count   core %       MB wake-ups/s     KB/s messages/s  over budget"
     );
     size.costs.iter().for_each(|one| costs(&mut text, one, need));
+    size.comparison.iter().for_each(|one| comparison(&mut text, one));
     for broken in &size.broken {
         let _ = writeln!(text, "  DOES NOT HOLD: {broken}");
     }
--- a/crates/lab/src/scale/run.rs
+++ b/crates/lab/src/scale/run.rs
@@ -1,6 +1,6 @@
 //! Plays a scenario of the scale run, size by size, and judges each.
 
-use super::cost::{self, Cost, Growth, Rates, Role};
+use super::cost::{self, Comparison, Cost, Growth, Rates, Role};
 use super::fleet::{Fleet, Programs, Sample, Shown};
 use super::judge::{self, Judged, Span, Struck};
 use super::record::{self, Readings};
@@ -36,6 +36,7 @@
     pub judged: Vec<Judged>,
     /// Without events, and in the calm stretch.
     pub costs: Vec<Costs>,
+    pub comparison: Option<Comparison>,
     /// Connections that the bus held at most.
     pub bus_connections: usize,
     /// Processes that did not end as they should.
@@ -204,7 +205,7 @@
     let stretches = judge::stretches(calm.span.from, &faults, issued_until, bound);
     let judged = judge::judge(&stretches, &purges, &shown.lives, bound);
     let hosted = layout.hosts.iter().map(|host| host.len()).sum();
-    let costs = [&quiet, &calm].map(|measured| costs(&shown, &bus, hosted, measured)).to_vec();
+    let [quiet, calm] = [&quiet, &calm].map(|measured| costs(&shown, &bus, hosted, measured));
     let mut broke: Vec<String> =
         judged.iter().filter_map(|judged| broken(judged, scenario.relays.is_some())).collect();
     broke.extend(shown.wrong_ends.iter().cloned());
@@ -214,7 +215,8 @@
         takes: takes::takes(scenario, size),
         started_seconds,
         judged,
-        costs,
+        comparison: Comparison::between(&quiet.costs, &calm.costs),
+        costs: vec![quiet, calm],
         bus_connections,
         wrong_ends: shown.wrong_ends,
         broken: broke,
