--- a/crates/operators/src/schema.rs
+++ b/crates/operators/src/schema.rs
@@ -469,7 +469,7 @@
     Values::Some(Text, "members"),
     &[],
     &[],
-    "whose majority makes a home; none: the first seven members. Two lists, the old and the new one: a majority of each",
+    "whose majority makes a home; none: all members. Two lists, the old and the new one: a majority of each",
 ));
 
 static REGION: Rule = many(node(
