--- a/review/stand/base.rs
+++ b/review/stand/base.rs
@@ -102,7 +102,13 @@
     }
 
     /// The same, with a socket that it inherits as descriptor 4.
-    pub fn start_with(run: &Run, name: &str, command: &str, env: &[(&str, String)], socket: Option<i32>) -> Process {
+    pub fn start_with(
+        run: &Run,
+        name: &str,
+        command: &str,
+        env: &[(&str, String)],
+        socket: Option<i32>,
+    ) -> Process {
         let log = File::options().create(true).append(true).open(run.path(&format!("{name}.log"))).unwrap();
         let mut shell = Command::new("/bin/sh");
         shell.arg("-c").arg(command).current_dir(&run.root).stdin(Stdio::null());
@@ -145,7 +151,8 @@
 
     /// Whether the process's output holds a text.
     pub fn logged(&self, text: &str) -> bool {
-        std::fs::read_to_string(self.run.path(&format!("{}.log", self.name))).is_ok_and(|log| log.contains(text))
+        std::fs::read_to_string(self.run.path(&format!("{}.log", self.name)))
+            .is_ok_and(|log| log.contains(text))
     }
 }
 
@@ -210,7 +217,8 @@
         if let Some(end) = bytes.windows(4).position(|four| four == b"\r\n\r\n") {
             let text = String::from_utf8_lossy(&bytes[..end]).to_string();
             let mut lines = text.split("\r\n");
-            let status = lines.next().and_then(|line| line.split(' ').nth(1)).and_then(|code| code.parse().ok());
+            let status =
+                lines.next().and_then(|line| line.split(' ').nth(1)).and_then(|code| code.parse().ok());
             let headers: BTreeMap<String, String> = lines
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_string()))
--- a/review/stand/bus.rs
+++ b/review/stand/bus.rs
@@ -133,7 +133,10 @@
             let last = list.len() as u64;
             drop(list);
             let body = format!("{{\"offset\":{last},\"batch\":[{later}]}}");
-            let head = format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n", body.len());
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                body.len()
+            );
             if (&mut &*stream).write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
--- a/review/stand/case_group.rs
+++ b/review/stand/case_group.rs
@@ -29,7 +29,8 @@
                     sleep_ms(10);
                 }
                 let Ok(far) = TcpStream::connect(to) else { return };
-                let (near_copy, far_copy, cut_copy) = (near.try_clone().unwrap(), far.try_clone().unwrap(), cut.clone());
+                let (near_copy, far_copy, cut_copy) =
+                    (near.try_clone().unwrap(), far.try_clone().unwrap(), cut.clone());
                 std::thread::spawn(move || pass(&far_copy, &near_copy, &cut_copy));
                 pass(&near, &far, &cut);
             });
@@ -74,7 +75,10 @@
 
 pub fn agree(run: &Run, to: SocketAddr, file: &str) -> Result<(), String> {
     for _ in 0..200 {
-        let said = command(run, &[GATEWAY, "propose", "--to", &to.to_string(), &run.path(file).display().to_string()]);
+        let said = command(
+            run,
+            &[GATEWAY, "propose", "--to", &to.to_string(), &run.path(file).display().to_string()],
+        );
         match said {
             Ok(said) => {
                 run.rec(&format!("operator: {file} is agreed on, says {to}: {said}"));
@@ -103,7 +107,8 @@
             .filter(|peer| *peer != index)
             .map(|peer| {
                 // The ways to and from the last instance lead through proxies.
-                let way = if index == last || peer == last { proxy(listens[peer], &cut) } else { listens[peer] };
+                let way =
+                    if index == last || peer == last { proxy(listens[peer], &cut) } else { listens[peer] };
                 format!("    peer {} \"{way}\"\n", peer + 1)
             })
             .collect();
@@ -174,7 +179,9 @@
                 run.rec(&format!("n{INSTANCES} answers {}", text(code)));
                 break;
             }
-            if code.is_none() { sleep_ms(1); }
+            if code.is_none() {
+                sleep_ms(1);
+            }
         }
     } else {
         let began = now_ms();
--- a/review/stand/case_reload.rs
+++ b/review/stand/case_reload.rs
@@ -54,7 +54,12 @@
     let mut sighup_at = None;
     if run.trouble {
         config.bus = second.address;
-        config.settings = settings(&[GUIDE_VIDEO, FORM_ASSETS, ACTIVATION_SUBMIT], 1);
+        // `AIM_STRETCH=1` adds the key, to show that nothing else is at fault.
+        let mut added = settings(&[GUIDE_VIDEO, FORM_ASSETS, ACTIVATION_SUBMIT], 1);
+        if std::env::var_os("AIM_STRETCH").is_some() {
+            added = added.replace("\"Aim\": 700000,", "\"Aim\": 700000, \"AimStretch\": 0.0,");
+        }
+        config.settings = added;
         run.write("config.json", &config.json());
         run.rec("platform: the new configuration adds the class activation-submit and names the second bus");
         first.replace();
@@ -68,9 +73,18 @@
     sleep_ms(7_500);
     if run.trouble {
         // Not judged: clients use a new class 1.2 s after SIGHUP.
-        let (id, head) = object_head("PUT", "activation-submit/5d1c0f6e", 2_000, "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n", 4);
+        let (id, head) = object_head(
+            "PUT",
+            "activation-submit/5d1c0f6e",
+            2_000,
+            "Req-Token: 5c0f6e1a2b3d4c59a8b7c6d5e4f30211\r\n",
+            4,
+        );
         let answer = http(config.listen, &head, b"form", Duration::from_millis(2_500));
-        run.rec(&format!("client: {id} PUT activation-submit/5d1c0f6e -> {:?}", answer.map(|answer| answer.status)));
+        run.rec(&format!(
+            "client: {id} PUT activation-submit/5d1c0f6e -> {:?}",
+            answer.map(|answer| answer.status)
+        ));
         run.rec(&format!("second bus: {} calls", second.calls()));
     }
     stop.store(true, Ordering::SeqCst);
@@ -83,8 +97,13 @@
     let arrived = [first.told(offset), second.told(offset)].into_iter().flatten().min();
     let by_rule = sighup_at.map(|at| (at + TOLD_AFTER_SIGHUP_MS).max(purged_at));
     let told = [arrived, by_rule].into_iter().flatten().min().ok_or("the purge was told to nobody")?;
-    run.rec(&format!("the purge was made at {}, counts as told at {}", run.since(purged_at), run.since(told)));
-    let pulled: Vec<_> = [&cache, &parent, &origin].iter().flat_map(|store| store.pulled.lock().unwrap().clone()).collect();
+    run.rec(&format!(
+        "the purge was made at {}, counts as told at {}",
+        run.since(purged_at),
+        run.since(told)
+    ));
+    let pulled: Vec<_> =
+        [&cache, &parent, &origin].iter().flat_map(|store| store.pulled.lock().unwrap().clone()).collect();
     if pulled.iter().filter(|pull| pull.came > told + NOTICE_MS).count() < 5 {
         return Err("too few requests after the purge".into());
     }
--- a/review/stand/case_sealed.rs
+++ b/review/stand/case_sealed.rs
@@ -21,9 +21,35 @@
     let issue = |words: &[&str]| command(run, &[&[GATEWAY, "identity", "issue"], words].concat());
     let ca = file("ca");
     issue(&["authority", "--name", "review", "--out", &ca])?;
-    issue(&["certificate", "--authority", &ca, "--dns", "control.example", "--server", "--out", &file("service")])?;
-    issue(&["certificate", "--authority", &ca, "--dns", "gateway.example", "--server", "--out", &file("gateway")])?;
-    issue(&["certificate", "--authority", &ca, "--uri", "spiffe://example/gateway/n0", "--out", &file("n0")])?;
+    issue(&[
+        "certificate",
+        "--authority",
+        &ca,
+        "--dns",
+        "control.example",
+        "--server",
+        "--out",
+        &file("service"),
+    ])?;
+    issue(&[
+        "certificate",
+        "--authority",
+        &ca,
+        "--dns",
+        "gateway.example",
+        "--server",
+        "--out",
+        &file("gateway"),
+    ])?;
+    issue(&[
+        "certificate",
+        "--authority",
+        &ca,
+        "--uri",
+        "spiffe://example/gateway/n0",
+        "--out",
+        &file("n0"),
+    ])?;
     issue(&["certificate", "--authority", &ca, "--uri", "spiffe://example/ops/one", "--out", &file("ops")])?;
     issue(&["key", "--out", &file("issuer.pem")])?;
     issue(&["jwks", "--key", &file("issuer.pem"), "--kid", "2026-12", "--out", &file("login.jwks.json")])?;
@@ -49,13 +75,27 @@
         ),
     );
     issue(&[
-        "token", "--key", &file("issuer.pem"), "--kid", "2026-12", "--issuer", "https://login.example", "--audience",
-        "sagearch", "--subject", "till-7",
+        "token",
+        "--key",
+        &file("issuer.pem"),
+        "--kid",
+        "2026-12",
+        "--issuer",
+        "https://login.example",
+        "--audience",
+        "sagearch",
+        "--subject",
+        "till-7",
     ])
 }
 
 fn start_service(run: &Run, at: SocketAddr) -> Result<Process, String> {
-    let service = Process::start(run, "control", &format!("exec {CONTROL} serve {}", run.path("control.kdl").display()), &[]);
+    let service = Process::start(
+        run,
+        "control",
+        &format!("exec {CONTROL} serve {}", run.path("control.kdl").display()),
+        &[],
+    );
     for _ in 0..250 {
         if std::net::TcpStream::connect(at).is_ok() {
             return Ok(service);
@@ -71,8 +111,24 @@
     let said = command(
         run,
         &[
-            CONTROL, "publish", "--to", &at, "--name", "control.example", "--roots", &file("ca.pem"), "--certificate",
-            &file("ops.pem"), "--key", &file("ops.key"), "--json", "--stages", "100", "--hold", "0s", &text,
+            CONTROL,
+            "publish",
+            "--to",
+            &at,
+            "--name",
+            "control.example",
+            "--roots",
+            &file("ca.pem"),
+            "--certificate",
+            &file("ops.pem"),
+            "--key",
+            &file("ops.key"),
+            "--json",
+            "--stages",
+            "100",
+            "--hold",
+            "0s",
+            &text,
         ],
     )?;
     run.rec(&format!("operator: published {said}"));
--- a/review/stand/case_upgrade.rs
+++ b/review/stand/case_upgrade.rs
@@ -42,7 +42,9 @@
         let gateway = start_gateway_beside(run, label, &path, Some(&operators), &lasting, &socket);
         let head = "GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
         for _ in 0..300 {
-            if http(config.admin.unwrap(), head, b"", Duration::from_secs(1)).is_ok_and(|answer| answer.status == 200) {
+            if http(config.admin.unwrap(), head, b"", Duration::from_secs(1))
+                .is_ok_and(|answer| answer.status == 200)
+            {
                 return Ok(gateway);
             }
             sleep_ms(20);
--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -5,9 +5,9 @@
 
 mod base;
 mod bus;
-mod case_sealed;
-mod case_reload;
 mod case_group;
+mod case_reload;
+mod case_sealed;
 mod case_upgrade;
 mod store;
 
--- a/review/stand/store.rs
+++ b/review/stand/store.rs
@@ -66,7 +66,14 @@
 }
 
 impl Store {
-    pub fn new(run: &Run, ip: &str, number: u32, kind: &'static str, zone: &'static str, world: &Arc<World>) -> Store {
+    pub fn new(
+        run: &Run,
+        ip: &str,
+        number: u32,
+        kind: &'static str,
+        zone: &'static str,
+        world: &Arc<World>,
+    ) -> Store {
         let listener = TcpListener::bind((ip, 0)).unwrap();
         let store = Store {
             name: format!("s-{number:08x}"),
@@ -129,7 +136,11 @@
 
     fn pull(&self, came: u64, id: &str, fields: &str, line: &str) -> Vec<u8> {
         let field = |name: &str| {
-            fields.split(',').filter_map(|field| field.split_once('=')).find(|(key, _)| *key == name).map(|(_, value)| value)
+            fields
+                .split(',')
+                .filter_map(|field| field.split_once('='))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value)
         };
         let object = field("obj").unwrap_or("").to_string();
         let key = format!("{object}/{}", field("seg").unwrap_or("0"));
@@ -153,12 +164,24 @@
         };
         drop(copies);
         let number = copy.map_or(0, |copy| copy.number);
-        self.pulled.lock().unwrap().push(Pulled { came, id: id.into(), object: object.clone(), number, line: line.into() });
+        self.pulled.lock().unwrap().push(Pulled {
+            came,
+            id: id.into(),
+            object: object.clone(),
+            number,
+            line: line.into(),
+        });
         self.run.rec(&format!("store {}: {line} -> {note} content {number}", self.name));
         match copy {
             Some(copy) => {
                 let body = format!("{object} content {}", copy.number);
-                format!("{id} ok res={note},ttfb=1,etag=e{:x},made={} {}\r\n{body}\r\n", copy.number, copy.made, body.len()).into_bytes()
+                format!(
+                    "{id} ok res={note},ttfb=1,etag=e{:x},made={} {}\r\n{body}\r\n",
+                    copy.number,
+                    copy.made,
+                    body.len()
+                )
+                .into_bytes()
             }
             None => format!("{id} nothing - 0\r\n\r\n").into_bytes(),
         }
