--- a/review/stand/stand.rs
+++ b/review/stand/stand.rs
@@ -6,6 +6,7 @@
 mod base;
 mod bus;
 mod case_group;
+mod case_nested;
 mod case_reload;
 mod case_sealed;
 mod case_upgrade;
@@ -24,6 +25,7 @@
         "group" => case_group::run(&run, false),
         "restart" => case_group::run(&run, true),
         "upgrade" => case_upgrade::run(&run),
+        "nested" => case_nested::run(&run),
         other => Err(format!("no such case: {other}")),
     }));
     base::end_all();
