--- a/review/stand/case_group.rs
+++ b/review/stand/case_group.rs
@@ -184,15 +184,19 @@
             }
         }
     } else {
-        let began = now_ms();
+        let (began, mut judged) = (now_ms(), 0);
         while now_ms() < began + CUT_MS {
             let codes = round("second document");
+            judged += u64::from(codes[0] == Some(5));
             if codes[0] == Some(5) && codes.contains(&Some(0)) {
                 broken += 1;
                 run.rec("BROKEN two instances act on different committed documents at the same time");
             }
             sleep_ms(500);
         }
+        if judged == 0 {
+            return Err("the second document is not in force at n1".into());
+        }
     }
     cut.store(false, Ordering::SeqCst);
     sleep_ms(SETTLE_MS);
--- a/review/stand/case_sealed.rs
+++ b/review/stand/case_sealed.rs
@@ -191,10 +191,10 @@
     let path = run.write("config.json", &config.json());
     let mut gateway = start_gateway(run, "gateway", &path, Some(&run.path("gateway.kdl")));
     wait_live(config.listen)?;
-    let (mut broken, mut statuses) = (0, Vec::new());
+    let (mut broken, mut answered) = (0, 0);
     let began = now_ms();
     while now_ms() < began + AWAY_MS {
-        statuses.push(ask(run, config.listen, None, &version, &mut broken));
+        answered += u64::from(ask(run, config.listen, None, &version, &mut broken) != 0);
         ask(run, config.listen, Some(&token), &version, &mut broken);
         sleep_ms(200);
     }
@@ -215,6 +215,9 @@
         return Err("the gateway has ended".into());
     }
     drop(service);
+    if answered == 0 {
+        return Err("the gateway answered nobody, so that nothing can be judged".into());
+    }
     if served == 0 && !run.trouble {
         return Err("the gateway never served under the version".into());
     }
