SIGHUP: an optional key that an entry lacks no longer refuses the file

Cause: a replacement must hold the keys of the file in force, and for entries of a list a key that all old entries had counted as required. The rule also forgot entries that had been dropped, and did not look below an entry's first level.

Entries must hold what all entries ever in force had in common, at any depth; every other key is required as before.

--- a/src/config.rs
+++ b/src/config.rs
@@ -6,11 +6,11 @@
 
 mod decode;
 mod error;
-mod shape;
+mod required_keys;
 
 pub use decode::decode;
 pub use error::{ConfigError, InvalidValue};
-pub use shape::Shape;
+pub use required_keys::{RequiredKeys, Shape};
 
 use crate::events::Batch;
 use crate::files;
--- a/src/config/decode.rs
+++ b/src/config/decode.rs
@@ -1,7 +1,6 @@
 //! Decodes and checks the configuration file, and fills in defaults.
 
-use super::shape::Shape;
-use super::{Config, ConfigError, InvalidValue};
+use super::{Config, ConfigError, InvalidValue, Shape};
 use crate::events::Batch;
 use crate::settings;
 use sagearch_operators::Operators;
--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -5,7 +5,7 @@
 
 pub use error::StartError;
 
-use crate::config::{Config, ConfigError, Shape};
+use crate::config::{Config, ConfigError, RequiredKeys};
 use crate::consensus::Instance;
 use crate::events::Batch;
 use crate::net::core::{Core, CoreParts};
@@ -159,8 +159,8 @@
     pub admin: Option<SocketAddr>,
     /// The address where the DNS frontend listens, or will listen once it is free; `None`: the frontend is off.
     pub dns: Option<SocketAddr>,
-    /// The keys of the configuration in force. A replacement must contain all of them.
-    shape: Mutex<Shape>,
+    /// The keys that a replacement of the configuration in force must hold.
+    required_keys: Mutex<RequiredKeys>,
     /// The descriptor limit of the process.
     sockets: usize,
     /// This gateway's instance of the consensus group that commits routes; `None`: there is none, or it starts only once
@@ -202,8 +202,9 @@
         serve_clients(core.clone(), clients.clone(), control_side.feed.clone(), listener);
         run_timers(core.clone(), control_side.clone(), clients);
         log::info!("{} serves at {listen}", config.name);
-        let (shape, sockets) = (Mutex::new(config.shape), config.sockets);
-        Ok(Gateway { core, control_side, listen, admin, dns, shape, sockets, raft })
+        let required_keys = Mutex::new(RequiredKeys::of(&config.shape));
+        let sockets = config.sockets;
+        Ok(Gateway { core, control_side, listen, admin, dns, required_keys, sockets, raft })
     }
 
     /// Applies a reloaded configuration: its settings, the operators' file and the address of the event bus, which is
@@ -213,9 +214,9 @@
     /// # Errors
     /// A key is missing, or the operators' file can't be used. The configuration in force is then unchanged.
     pub fn reload(&self, config: Config) -> Result<(), ConfigError> {
-        let mut shape = lock(&self.shape);
-        shape.check_replacement(&config.shape)?;
-        let Config { settings, names, bus, operators, .. } = config;
+        let mut required_keys = lock(&self.required_keys);
+        required_keys.check(&config.shape)?;
+        let Config { settings, names, bus, operators, shape, .. } = config;
         let core = &self.core;
         // Only the operators' file can still be rejected; nothing fails after `replace_file` has committed it.
         let deployment = core.deployment().with_settings(settings, names);
@@ -225,7 +226,7 @@
         replaced.map_err(ConfigError::operators_rejected)?;
         let sink: Arc<dyn EventSink> = core.clone();
         self.control_side.change_bus_address(&sink, bus);
-        *shape = config.shape;
+        required_keys.replace(&shape);
         log::info!("configuration read again: the settings are in force, and the event bus is {bus}");
         Ok(())
     }
--- a/tests/retune.rs
+++ b/tests/retune.rs
@@ -5,6 +5,7 @@
 use sagearch::config::{Config, decode};
 use serde_json::{Value, json};
 use stand::*;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// The configuration of a gateway that follows this bus, after a change to its JSON form.
@@ -89,3 +90,55 @@
         ask(gateway.listen, &format!("video/o{id}"), id).body == b"y"
     });
 }
+
+/// A client can reach each of these classes after the reload.
+fn assert_classes_are_known(listen: SocketAddr, classes: &[&str], first_id: u64) {
+    for (id, class) in (first_id..).zip(classes) {
+        assert_ne!(ask(listen, &format!("{class}/form1"), id).status, 404, "{class} is known");
+    }
+}
+
+/// Adds the class `added` to the configuration, a copy of `video` without the keys that the wire page lets be absent.
+fn add_class_without_optional_keys(config: &mut Value) {
+    let classes = config["settings"]["Classes"].as_array_mut().unwrap();
+    let mut added = classes[0].clone();
+    added["Name"] = json!("added");
+    added.as_object_mut().unwrap().remove("AimStretch");
+    classes.push(added);
+    for by_class in ["ClassFresh", "PassOn"] {
+        let list = config["settings"]["FamilyInfo"][by_class].as_array_mut().unwrap();
+        list.push(list[0].clone());
+    }
+}
+
+/// A new class without `AimStretch` had the whole file turned down, and with it the new address of the event bus: the
+/// gateway went on with a bus that had nothing more to tell, and answered from purged copies.
+#[test]
+fn class_without_optional_key_is_accepted_with_the_new_bus() {
+    let (bus, other_bus) = (Bus::default(), Bus::default());
+    let stores = [(1, b"x"), (2, b"y")].map(|(id, body)| Store::new(id, move |_, _| ok(body)));
+    let gateway = gateway(&bus, &[stores[0].cache()]);
+    other_bus.list(&[stores[0].cache()]);
+    gateway.reload(changed_config(&other_bus, add_class_without_optional_keys)).unwrap();
+    assert_classes_are_known(gateway.listen, &["video", "added"], 1);
+    other_bus.list(&[stores[0].gone("removed"), stores[1].cache()]);
+    let next_id = std::sync::atomic::AtomicU64::new(10);
+    wait_for("an event of the new bus is applied", || {
+        let id = next_id.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        ask(gateway.listen, &format!("video/o{id}"), id).body == b"y"
+    });
+}
+
+/// The same fault on the way back: a class that was in force without the key was refused once it had been dropped, because
+/// all classes that were left had the key.
+#[test]
+fn class_without_optional_key_is_dropped_and_added_again() {
+    let (bus, origin) = (Bus::default(), Store::new(9, |_, _| ok(b"x")));
+    let gateway = gateway(&bus, &[origin.origin()]);
+    for round in 0..3 {
+        gateway.reload(changed_config(&bus, add_class_without_optional_keys)).unwrap();
+        assert_classes_are_known(gateway.listen, &["video", "added"], 1 + 10 * round);
+        gateway.reload(changed_config(&bus, |_| ())).unwrap();
+        assert_eq!(ask(gateway.listen, "added/form1", 5 + 10 * round).status, 404);
+    }
+}
