Consensus: an instance answers only by routes that no other has replaced

Cause: which routes were in force followed from what an instance had heard last; nothing asked whether the group had gone on. In an upgrade the agreed routes went before the file's only if the instance had been started by then.

Asked again before the answer leaves. Holds from the start on wherever the file has `group`.

--- a/src/consensus.rs
+++ b/src/consensus.rs
@@ -1,23 +1,28 @@
 //! Configuration agreed by Raft among a few instances.
 //!
 //! Off unless the operators' file names this instance's peers. The instances agree on a document: the routes of the DNS
-//! frontend. Each instance passes a committed document to the callback that it was started with. The algorithm is the `raft`
+//! frontend. Each instance passes a committed document to the follower that it was started with, and tells it up to when
+//! the instance is known to hold all committed documents. The algorithm is the `raft`
 //! crate's; its disk, connections and clock are here. All of it runs on threads of its own, because a disk may block them and
 //! the gateway's worker must not be blocked.
 //!
 //! - `driver`: runs the algorithm; `record_log`: its log on disk;
 //! - `peers`: connections to peers; `listener`: connections from peers and operators;
 //! - `proposals`: documents that operators propose;
+//! - `follower`: who receives documents and confirmations; `read_requests`: requests for the group's commit index;
 //! - `input`: what the driver receives; `frame`: the frames of connections and of the log.
 
 mod driver;
+mod follower;
 mod frame;
 mod input;
 mod listener;
 mod peers;
 mod proposals;
+mod read_requests;
 mod record_log;
 
+pub use follower::Follower;
 pub use frame::FrameError;
 pub use input::InvalidDocument;
 pub use proposals::{Check, ProposeError, propose};
@@ -60,17 +65,13 @@
 }
 
 impl Instance {
-    /// Joins the group. `apply` receives each committed document, those from before the start first. A document in which
+    /// Joins the group. `follower` receives each committed document, those from before the start first. A document in which
     /// `check` finds a fault is not proposed.
     ///
     /// # Errors
     ///
     /// If the parameters are not valid, the address can't be bound, or a thread can't be started.
-    pub fn start(
-        raft: &Raft,
-        check: Check,
-        apply: impl FnMut(&[u8]) + Send + 'static,
-    ) -> io::Result<Instance> {
+    pub fn start(raft: &Raft, check: Check, follower: impl Follower + 'static) -> io::Result<Instance> {
         let config = algorithm_config(raft.id)?;
         let voters: Vec<u64> = raft.peers.keys().copied().chain([raft.id]).collect();
         let listener = TcpListener::bind(raft.listen)?;
@@ -83,7 +84,7 @@
             storage: MemStorage::new_with_conf_state((voters, Vec::new())),
             folder: Folder::new(&raft.data),
             peers,
-            apply: Box::new(apply),
+            follower: Box::new(follower),
             incarnation: random_number()?,
         };
         threads.push(start_driver(driver, queue)?);
@@ -136,7 +137,7 @@
     Ok(config)
 }
 
-/// Starts the driver's thread. If the driver fails, the gateway keeps the configuration that it has.
+/// Starts the driver's thread. If the driver fails, the follower receives nothing further, so that its lease ends.
 fn start_driver(driver: DriverSetup, inputs: Receiver<Input>) -> io::Result<JoinHandle<()>> {
     thread::Builder::new().name("raft".into()).spawn(move || {
         if let Err(error) = driver.run(&inputs) {
--- a/src/consensus/driver.rs
+++ b/src/consensus/driver.rs
@@ -1,12 +1,14 @@
 //! The driver: the thread that runs the Raft algorithm with its clock, its log and its inputs.
 
 use super::LOG_TARGET;
+use super::follower::Follower;
 use super::input::{Input, Proposal, ProposalError, ProposalResult};
 use super::peers::Peers;
+use super::read_requests::ReadRequests;
 use super::record_log::{LogError, RecordLog};
 use raft::eraftpb::{Entry, EntryType, HardState};
 use raft::storage::MemStorage;
-use raft::{Config, RawNode};
+use raft::{Config, RawNode, ReadState};
 use sagearch_folder::{Backoff, Folder};
 use std::collections::HashMap;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
@@ -21,9 +23,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
-/// Receives committed documents.
-pub type Apply = Box<dyn FnMut(&[u8]) + Send>;
-
 /// Why the driver can't go on.
 #[derive(Debug, Error)]
 pub enum DriverError {
@@ -52,9 +51,9 @@
     pub folder: Folder,
     /// The queues of the peers.
     pub peers: Peers,
-    /// Receives committed documents.
-    pub apply: Apply,
-    /// Distinguishes the proposals of this process from those of earlier ones, which may still be committed.
+    /// Receives committed documents and confirmations.
+    pub follower: Box<dyn Follower>,
+    /// Distinguishes the proposals and requests of this process from those of earlier ones, which may still be answered.
     pub incarnation: u64,
 }
 
@@ -65,12 +64,13 @@
     ///
     /// If the log can't be used. A disk that fails is no error: the driver tries again until it works.
     pub fn run(self, inputs: &Receiver<Input>) -> Result<(), DriverError> {
-        let DriverSetup { config, storage, folder, peers, apply, incarnation } = self;
+        let DriverSetup { config, storage, folder, peers, follower, incarnation } = self;
         let Some(log) = open_log(&folder, &storage, inputs)? else { return Ok(()) };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let node = RawNode::new(&config, storage, &logger)?;
         let waiting = HashMap::new();
-        Driver { node, log, peers, apply, waiting, proposed: 0, incarnation }.run(inputs)
+        let reads = ReadRequests::new(config.id, incarnation);
+        Driver { node, log, peers, follower, waiting, proposed: 0, incarnation, reads }.run(inputs)
     }
 }
 
@@ -84,12 +84,14 @@
     node: RawNode<MemStorage>,
     log: RecordLog,
     peers: Peers,
-    apply: Apply,
+    follower: Box<dyn Follower>,
     /// Proposals made here, by the context of their entries.
     waiting: HashMap<Vec<u8>, WaitingProposal>,
     /// How many proposals were made here.
     proposed: u64,
     incarnation: u64,
+    /// Requests for the group's commit index.
+    reads: ReadRequests,
 }
 
 impl Driver {
@@ -107,6 +109,8 @@
                 next_tick = Instant::now() + TICK;
                 self.node.tick();
                 self.expire_proposals();
+                self.request_commit_index();
+                self.follower.tick();
             }
             if self.on_ready(inputs)? == Flow::Stop {
                 return Ok(());
@@ -127,6 +131,21 @@
         }
     }
 
+    /// Asks the leader for the group's commit index, if it is time to. Without a leader the request is dropped.
+    fn request_commit_index(&mut self) {
+        if let Some(context) = self.reads.next(Instant::now()) {
+            self.node.read_index(context);
+        }
+    }
+
+    fn confirm(&mut self, states: Vec<ReadState>) {
+        for state in states {
+            if let Some(requested_at) = self.reads.answered(&state.request_ctx) {
+                self.follower.confirmed(requested_at, state.index);
+            }
+        }
+    }
+
     fn expire_proposals(&mut self) {
         let now = Instant::now();
         for (_, expired) in self.waiting.extract_if(|_, proposal| now >= proposal.deadline) {
@@ -138,11 +157,12 @@
         for entry in entries {
             // Entries without data are of new leaders.
             if entry.get_entry_type() == EntryType::EntryNormal && !entry.data.is_empty() {
-                (self.apply)(&entry.data);
+                self.follower.committed(&entry.data);
                 if let Some(proposal) = self.waiting.remove(&entry.context[..]) {
                     let _ = proposal.reply.send(Ok(()));
                 }
             }
+            self.follower.applied(entry.index);
         }
     }
 
@@ -179,6 +199,7 @@
         }
         let mut ready = self.node.ready();
         self.peers.send(ready.take_messages());
+        self.confirm(ready.take_read_states());
         self.commit(ready.take_committed_entries());
         if self.store(inputs, ready.entries(), ready.hs())? == Flow::Stop {
             return Ok(Flow::Stop);
--- a/src/net/configuration/identity/version.rs
+++ b/src/net/configuration/identity/version.rs
@@ -18,7 +18,6 @@
 use sagearch_identity::settings::Source;
 use sagearch_identity::{Authority, Handover, Now, Reason};
 use sagearch_operators::Operators;
-use sagearch_operators::fronts::Routes;
 use std::fmt;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
@@ -271,13 +270,6 @@
         self.set_config(config);
     }
 
-    /// Replaces the routes in force with those of the consensus group.
-    pub fn replace_routes(&self, routes: Routes) {
-        let _applying = lock(&self.applying);
-        let state = &mut *lock(&self.state);
-        state.snapshot = Arc::new(Snapshot { routes: Arc::new(routes), ..(*state.snapshot).clone() });
-    }
-
     /// Returns the snapshot in force.
     pub fn snapshot(&self) -> Arc<Snapshot> {
         lock(&self.state).snapshot.clone()
--- a/src/net/configuration/layered_config.rs
+++ b/src/net/configuration/layered_config.rs
@@ -33,8 +33,6 @@
 struct State {
     file: Operators,
     streamed: Option<StreamedLayer>,
-    /// Routes come from the consensus group instead of the layers.
-    has_consensus_routes: bool,
 }
 
 /// The layers of the configuration, and the guard in which their merged form is put in force.
@@ -65,14 +63,11 @@
 }
 
 /// Merges the two layers into one configuration.
-fn merge(file: &Operators, streamed: Option<&StreamedLayer>, has_consensus_routes: bool) -> VersionConfig {
+fn merge(file: &Operators, streamed: Option<&StreamedLayer>) -> VersionConfig {
     let mut config = VersionConfig::from_operators(file);
     if let Some(layer) = streamed {
         overlay(&mut config, layer);
     }
-    if has_consensus_routes {
-        config.routes = None;
-    }
     config
 }
 
@@ -104,11 +99,6 @@
         self.guard.start(operators);
     }
 
-    /// Takes routes from the consensus group from now on, instead of the layers.
-    pub fn use_consensus_routes(&self) {
-        lock(&self.state).has_consensus_routes = true;
-    }
-
     /// Rejects all requests until a first version is in force, if the operators' file requires one.
     pub fn seal_until_first_version(&self, control: &Control) {
         if control.refuses_without && lock(&self.state).streamed.is_none() {
@@ -130,7 +120,7 @@
             None => streamed(DOCUMENT, text, deployment_names)?,
         };
         let layer = StreamedLayer { version: version.clone(), operators };
-        let config = merge(&state.file, Some(&layer), state.has_consensus_routes);
+        let config = merge(&state.file, Some(&layer));
         let snapshot = self.guard.version.stage(config, None)?;
         Ok(StagedVersion { state, snapshot, layer })
     }
@@ -160,7 +150,7 @@
         let mut state = lock(&self.state);
         let requires_version = file.control.as_ref().is_some_and(|control| control.refuses_without);
         let is_sealed = state.streamed.is_none() && requires_version;
-        let config = merge(&file, state.streamed.as_ref(), state.has_consensus_routes);
+        let config = merge(&file, state.streamed.as_ref());
         let staged = self.guard.version.stage(config, Some(deployment))?;
         before_commit(&staged.snapshot.deployment);
         self.guard.commit(staged);
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -12,6 +12,7 @@
 use crate::events::{Batch, Instance};
 use crate::interface::{Member, MemberId, MemberState, Micros, Request};
 use crate::net::clock::Clock;
+use crate::net::configuration::agreed_routes::{AgreedRoutes, RoutesInForce};
 use crate::net::configuration::identity::Guard;
 use crate::net::discovery::event_sink::{BrokerEvents, EventSink, StoreTable};
 use crate::net::frontend::clients::Clients;
@@ -58,6 +59,8 @@
     max_store_connections: usize,
     /// Authenticates and authorizes callers.
     pub guard: Arc<Guard>,
+    /// The routes of the consensus group; `None` if this gateway is not an instance of one.
+    pub(super) agreed_routes: Option<Arc<AgreedRoutes>>,
     /// Whether another process of this gateway is running, as happens during an upgrade.
     pub(super) has_peer_process: AtomicBool,
     /// Request ids that came into use and have not been reported to the other process yet.
@@ -74,6 +77,8 @@
     pub broker: Arc<Mutex<Broker<Mailbox>>>,
     /// Authenticates and authorizes callers under the configuration in force.
     pub guard: Arc<Guard>,
+    /// The routes of the consensus group; `None` if this gateway is not an instance of one.
+    pub agreed_routes: Option<Arc<AgreedRoutes>>,
     /// Applies feed events to the broker.
     pub events: Arc<BrokerEvents>,
     /// The table of client connections.
@@ -89,7 +94,8 @@
 impl Core {
     /// Creates a core that has no endpoints and is not ready yet.
     pub(super) fn new(parts: CoreParts) -> Core {
-        let CoreParts { clock, broker, guard, events, clients, sockets, connections, socket_shared } = parts;
+        let CoreParts { clock, broker, guard, agreed_routes, events, clients, sockets, connections, .. } =
+            parts;
         let admission_broker = broker.clone();
         let admission_check = Arc::new(move |planned: &PlannedAttempt| {
             let now = clock.now();
@@ -105,9 +111,10 @@
             events,
             ready: AtomicBool::new(false),
             stopping: OnceLock::new(),
-            socket_shared,
+            socket_shared: parts.socket_shared,
             max_store_connections: sockets / DESCRIPTORS_PER_STORE_CONNECTION,
             guard,
+            agreed_routes,
             has_peer_process: AtomicBool::new(false),
             ids_to_report: Mutex::default(),
             open_requests: Arc::default(),
@@ -181,6 +188,13 @@
         self.guard.version.snapshot()
     }
 
+    fn routes(&self, snapshot: &Snapshot) -> Option<RoutesInForce> {
+        match &self.agreed_routes {
+            Some(agreed) => agreed.in_force(&snapshot.routes),
+            None => Some(RoutesInForce::alone(snapshot.routes.clone())),
+        }
+    }
+
     fn guard(&self) -> &Guard {
         &self.guard
     }
--- a/src/net/frontend/dns/question.rs
+++ b/src/net/frontend/dns/question.rs
@@ -4,10 +4,11 @@
 use super::resolver::{ObjectName, Resolver};
 use crate::interface::Idempotency;
 use crate::net::snapshot::Snapshot;
+use crate::settings::Deployment;
 use hickory_proto::op::{Message, OpCode, Query, ResponseCode};
 use hickory_proto::rr::{DNSClass, RecordType};
 use sagearch_identity::Caller;
-use sagearch_operators::fronts::Source;
+use sagearch_operators::fronts::Routes;
 use std::net::IpAddr;
 use std::sync::Arc;
 
@@ -24,16 +25,37 @@
     Resolve { name: ObjectName, caller: Arc<Caller> },
 }
 
+/// What the routes say of a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClientRule {
+    /// It is not answered.
+    Refused,
+    /// It gets the addresses of endpoints.
+    EndpointAddress,
+    /// It gets the gateway's own address, as it ignores lifetimes.
+    OwnAddress,
+}
+
 impl Resolver {
-    /// Decides how a query is answered, by its form, its client and the name that it asks for.
-    pub(super) fn decide(&self, query: &Message, client: IpAddr, snapshot: &Snapshot) -> Decision {
+    /// Decides how a query is answered, by its form, its client and the name that it asks for. `rule` is what the routes say
+    /// of the client; `None`: it is not known.
+    pub(super) fn decide(
+        &self,
+        query: &Message,
+        client: IpAddr,
+        rule: Option<ClientRule>,
+        snapshot: &Snapshot,
+    ) -> Decision {
         let question = match supported_question(query) {
             Ok(question) => question,
             Err(code) => return Decision::Code(code),
         };
-        let Some(source) = find_source(client, snapshot) else {
-            return Decision::Code(ResponseCode::Refused);
+        let Some(rule) = rule else {
+            return Decision::Code(ResponseCode::ServFail);
         };
+        if rule == ClientRule::Refused {
+            return Decision::Code(ResponseCode::Refused);
+        }
         if question.query_class() != DNSClass::IN {
             return Decision::Code(ResponseCode::Refused);
         }
@@ -50,7 +72,7 @@
             QueriedName::OutOfDomain => Decision::Code(ResponseCode::Refused),
             QueriedName::Unknown => Decision::Code(ResponseCode::NXDomain),
             QueriedName::NoAddress => Decision::NoData,
-            QueriedName::Object(name) => self.decide_object(name, question, source, client, snapshot),
+            QueriedName::Object(name) => self.decide_object(name, question, rule, client, snapshot),
         }
     }
 
@@ -59,7 +81,7 @@
         &self,
         name: ObjectName,
         question: &Query,
-        source: &Source,
+        rule: ClientRule,
         client: IpAddr,
         snapshot: &Snapshot,
     ) -> Decision {
@@ -74,7 +96,7 @@
         };
         if question.query_type() != RecordType::A {
             Decision::NoData
-        } else if source.ignores_lifetimes {
+        } else if rule == ClientRule::OwnAddress {
             // The client would keep the address of an endpoint that drains; that of the gateway stays valid.
             Decision::OwnAddress
         } else {
@@ -95,10 +117,16 @@
     Ok(question)
 }
 
-/// The network of a client, if it belongs to the zone of this gateway: others are served by other gateways.
-fn find_source(client: IpAddr, snapshot: &Snapshot) -> Option<&Source> {
-    let deployment = &snapshot.deployment;
-    let source = snapshot.routes.sources.iter().find(|source| source.contains(client))?;
-    let zone = deployment.names.zones.get(&source.zone);
-    (zone == Some(&deployment.settings.zone)).then_some(source)
+/// What the routes say of a client. Clients of other zones are served by other gateways.
+pub(super) fn client_rule(client: IpAddr, routes: &Routes, deployment: &Deployment) -> ClientRule {
+    let Some(source) = routes.sources.iter().find(|source| source.contains(client)) else {
+        return ClientRule::Refused;
+    };
+    if deployment.names.zones.get(&source.zone) != Some(&deployment.settings.zone) {
+        ClientRule::Refused
+    } else if source.ignores_lifetimes {
+        ClientRule::OwnAddress
+    } else {
+        ClientRule::EndpointAddress
+    }
 }
--- a/src/net/frontend/dns/resolver.rs
+++ b/src/net/frontend/dns/resolver.rs
@@ -1,7 +1,7 @@
 //! From a query to its answer.
 
 use super::answer::{self, ReplyWriter};
-use super::question::Decision;
+use super::question::{ClientRule, Decision, client_rule};
 use crate::interface::{Request, RequestId};
 use crate::net::Permit;
 use crate::net::service::{RequestEnd, Service, Work};
@@ -72,13 +72,18 @@
             Err(_) => return answer_malformed(bytes),
         };
         let snapshot = self.service.snapshot();
-        let reply = ReplyWriter { domain: &self.domain, query: &query };
-        let reply = match self.decide(&query, client, &snapshot) {
-            Decision::Code(code) => reply.without_address(code),
-            Decision::NoData => reply.without_address(ResponseCode::NoError),
-            Decision::OwnAddress => reply.with_address(Some(self.gateway)),
-            Decision::Resolve { name, caller } => reply.with_address(self.look_up(name, &caller, &snapshot)),
+        let writer = ReplyWriter { domain: &self.domain, query: &query };
+        let rule = self.client_rule(client, &snapshot);
+        let mut reply = match self.decide(&query, client, rule, &snapshot) {
+            Decision::Code(code) => writer.without_address(code),
+            Decision::NoData => writer.without_address(ResponseCode::NoError),
+            Decision::OwnAddress => writer.with_address(Some(self.gateway)),
+            Decision::Resolve { name, caller } => writer.with_address(self.look_up(name, &caller, &snapshot)),
         };
+        // Other routes may have come into force during the look-up, or during a pause of the process.
+        if self.client_rule(client, &snapshot) != rule {
+            reply = writer.without_address(ResponseCode::ServFail);
+        }
         let max_bytes = match transport {
             Transport::Udp => answer::max_udp_payload(&query),
             Transport::Tcp => usize::from(u16::MAX),
@@ -86,15 +91,22 @@
         answer::encode_within(&reply, max_bytes)
     }
 
+    /// What the routes in force say of a client; `None` if this gateway does not know it.
+    fn client_rule(&self, client: IpAddr, snapshot: &Snapshot) -> Option<ClientRule> {
+        let routes = self.service.routes(snapshot)?;
+        routes.agree_on(|routes| client_rule(client, routes, &snapshot.deployment))
+    }
+
     /// Serves a look-up as a request of the core. `None`: it was refused, failed, or ran into its deadline.
     fn look_up(&self, name: ObjectName, caller: &Arc<Caller>, snapshot: &Snapshot) -> Option<IpAddr> {
         let max_lookups = snapshot.limits.map_or(MAX_LOOKUPS, |limits| limits.lookups);
+        let deadline_ms = self.service.routes(snapshot)?.newest().deadline_ms;
         let _permit = Permit::take(&self.lookups, max_lookups)?;
         let _open = self.service.count_open_request();
         let request = Request {
             id: RequestId(self.next_id.fetch_add(ID_STEP, Ordering::SeqCst)),
             class: Some(name.class),
-            timeout: snapshot.routes.deadline_ms * 1_000,
+            timeout: deadline_ms * 1_000,
             object: name.object,
             part: name.part,
             is_lookup: true,
--- a/src/net/lifecycle/gateway.rs
+++ b/src/net/lifecycle/gateway.rs
@@ -84,6 +84,7 @@
         clock: control_side.clock,
         broker: control_side.broker_handle(),
         guard: control_side.guard.clone(),
+        agreed_routes: control_side.operators.raft.as_ref().map(|_| Arc::default()),
         events: control_side.events(),
         clients: clients.clone(),
         sockets: config.sockets,
@@ -189,9 +190,6 @@
         let listen = listener.local_addr().map_err(listen_error)?;
         let dns = start_dns(&core, control_side.operators.dns.clone(), listen, config.seed)?;
         let raft = start_consensus(&core, control_side.operators.raft.clone())?;
-        if raft.is_some() {
-            control_side.config.use_consensus_routes();
-        }
         control_side.follow_control().map_err(StartError::Control)?;
         if let Some(folder) = &config.lasting
             && let Err(e) = link::start(&core, folder, &config.name)
--- a/src/net/lifecycle/gateway/single_process.rs
+++ b/src/net/lifecycle/gateway/single_process.rs
@@ -3,10 +3,11 @@
 
 use super::error::StartError;
 use crate::consensus::{Instance, InvalidDocument};
+use crate::net::configuration::agreed_routes::{self, RoutesFollower};
 use crate::net::core::Core;
 use crate::net::frontend::dns;
 use crate::net::service::Service;
-use sagearch_operators::fronts::{self, Dns, Raft};
+use sagearch_operators::fronts::{Dns, Raft};
 use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
@@ -79,20 +80,16 @@
     Ok(None)
 }
 
-/// Starts this gateway's instance of the consensus group and applies each document of routes that the group commits.
+/// Starts this gateway's instance of the consensus group, which agrees on the DNS frontend's routes.
 fn join_consensus_group(core: &Arc<Core>, raft: &Raft) -> io::Result<Instance> {
-    let (validating_core, applying_core) = (core.clone(), core.clone());
-    let parse_routes = |text: &[u8], core: &Core| {
-        let text = std::str::from_utf8(text).map_err(|e| e.to_string())?;
-        fronts::parse_agreed("document", text, &core.deployment().names).map_err(|faults| faults.to_string())
+    let (validating_core, following_core) = (core.clone(), core.clone());
+    let validate = move |text: &[u8]| {
+        let parsed = agreed_routes::parse(text, &validating_core.deployment().names);
+        parsed.map(drop).map_err(InvalidDocument::from)
     };
-    let validate =
-        move |text: &[u8]| parse_routes(text, &validating_core).map(drop).map_err(InvalidDocument::from);
-    Instance::start(raft, Arc::new(validate), move |text| match parse_routes(text, &applying_core) {
-        Ok(routes) => {
-            log::info!("consensus group committed routes: {} sources", routes.sources.len());
-            applying_core.guard.version.replace_routes(routes);
-        }
-        Err(e) => log::error!("committed routes can't be applied: {e}"),
-    })
+    let follower = RoutesFollower {
+        routes: core.agreed_routes.clone().unwrap_or_default(),
+        deployment: move || following_core.deployment(),
+    };
+    Instance::start(raft, Arc::new(validate), follower)
 }
--- a/src/net/service.rs
+++ b/src/net/service.rs
@@ -4,6 +4,7 @@
 use crate::broker::PlannedAttempt;
 use crate::interface::{MemberId, Micros, Request};
 use crate::net::Permit;
+use crate::net::configuration::agreed_routes::RoutesInForce;
 use crate::net::configuration::identity::Guard;
 use crate::net::snapshot::Snapshot;
 use crate::net::upstream::store::{Pull, Reply};
@@ -88,6 +89,10 @@
     /// The snapshot in force. A request obtains it once and uses it until its end.
     fn snapshot(&self) -> Arc<Snapshot>;
 
+    /// The routes by which the DNS frontend may answer, where `snapshot` is in force. `None`: it may answer by none, because a
+    /// consensus group agrees on them and this gateway does not know which are in force.
+    fn routes(&self, snapshot: &Snapshot) -> Option<RoutesInForce>;
+
     /// Authenticates and authorizes callers.
     fn guard(&self) -> &Guard;
 
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -14,7 +14,8 @@
     pub version: Arc<str>,
     /// The settings and names of the deployment.
     pub deployment: Arc<Deployment>,
-    /// The networks that the DNS frontend answers, and the deadline of its lookups.
+    /// The networks that the DNS frontend answers, and the deadline of its lookups, as far as no consensus group agrees on
+    /// them.
     pub routes: Arc<Routes>,
     /// The TLS configuration of the client address and of the operator address.
     pub endpoints: Arc<Endpoints>,
