Seals: a cause for which nobody is served is lifted by its own end alone

Cause: that nobody is served was one bit with two causes. The upkeep of key files commits a configuration again "if it is sealed", and the commit replaced the bit that stood for the missing version.

The upkeep asks for its own cause and reads the configuration under the lock.

--- a/src/net/configuration/identity.rs
+++ b/src/net/configuration/identity.rs
@@ -2,6 +2,7 @@
 //!
 //! - `version`: holds the version in force and replaces it atomically;
 //! - `version_config`: the configuration of a version;
+//! - `seals`: why nobody is served;
 //! - `key_sets`: keeps key sets and certificates up to date;
 //! - `admission`: identifies callers and checks their rights;
 //! - `error`: errors of staging a version or loading a key set.
@@ -12,11 +13,13 @@
 mod admission;
 mod error;
 mod key_sets;
+mod seals;
 mod version;
 mod version_config;
 
 pub use error::{KeySetError, VersionError};
 pub use key_sets::fetch_key_set;
+pub use seals::SealCause;
 pub use version::StagedSnapshot;
 pub use version_config::VersionConfig;
 
@@ -57,12 +60,13 @@
     pub fn start(&self, operators: &Result<Operators, impl Display>) {
         let config = match operators {
             Ok(operators) => VersionConfig::from_operators(operators),
-            Err(error) => return self.version.seal(&error.to_string()),
+            // Whether it asks for a version is not known; the file that replaces it says.
+            Err(error) => return self.version.seal_as_invalid(&error.to_string(), false),
         };
         match self.version.stage(config.clone(), None) {
             Ok(staged) => self.commit(staged),
             Err(error) => {
-                self.version.seal(&error.to_string());
+                self.version.seal_as_invalid(&error.to_string(), config.awaits_version);
                 // The files that it names may become valid later, so the upkeep stages it again.
                 self.version.set_config(config);
                 self.upkeep.start();
--- a/src/net/configuration/identity/admission.rs
+++ b/src/net/configuration/identity/admission.rs
@@ -71,8 +71,10 @@
         method: &str,
         object: &str,
     ) -> (Arc<Snapshot>, Result<Arc<Caller>, Reason>) {
-        if !self.version.requires_admission() {
-            return (self.version.snapshot(), Ok(Caller::anonymous()));
+        if !self.version.requires_admission()
+            && let Some(snapshot) = self.version.snapshot_without_admission()
+        {
+            return (snapshot, Ok(Caller::anonymous()));
         }
         let began = Instant::now();
         let now = self.version.now();
--- a/src/net/configuration/identity/key_sets.rs
+++ b/src/net/configuration/identity/key_sets.rs
@@ -2,6 +2,7 @@
 //! expired keys and tokens. Requests are blocked only by short locks.
 
 use super::error::{KeySetError, VersionError};
+use super::seals::SealCause;
 use super::version::ActiveVersion;
 use super::version_config::{KeyFile, VersionConfig, read_key_set};
 use crate::metrics::Metrics;
@@ -70,7 +71,8 @@
         let (mut last_expiry, mut last_retry) = (Instant::now(), Instant::now());
         while !self.stopping.load(Ordering::SeqCst) {
             std::thread::sleep(POLL_INTERVAL);
-            if self.version.is_sealed() && last_retry.elapsed() >= STAGE_RETRY_INTERVAL {
+            let is_invalid = self.version.is_sealed_by(SealCause::InvalidConfiguration);
+            if is_invalid && last_retry.elapsed() >= STAGE_RETRY_INTERVAL {
                 last_retry = Instant::now();
                 self.retry_stage();
             }
@@ -86,10 +88,14 @@
 
     /// Stages the newest configuration again after it could not be put in force.
     fn retry_stage(self: &Arc<KeySetUpkeep>) {
-        let config = self.version.config();
-        if let Ok(staged) = self.version.stage(config, None) {
+        if let Ok(staged) = self.version.stage_again() {
             self.version.commit(staged);
-            tracing::info!("identity: the operators' file is valid now; clients are served");
+            match self.version.seal() {
+                None => tracing::info!("identity: the operators' file is valid now; clients are served"),
+                Some(cause) => {
+                    tracing::info!(%cause, "identity: the operators' file is valid now; nobody is served yet");
+                }
+            }
         }
     }
 
@@ -194,7 +200,7 @@
 impl WatchedFiles {
     /// Reloads files that have changed.
     fn poll(&mut self, upkeep: &Arc<KeySetUpkeep>) {
-        if upkeep.version.is_sealed() {
+        if upkeep.version.is_sealed_by(SealCause::InvalidConfiguration) {
             return;
         }
         let config = upkeep.version.config();
--- a/src/net/configuration/identity/version.rs
+++ b/src/net/configuration/identity/version.rs
@@ -5,6 +5,7 @@
 //! both under the same lock.
 
 use super::error::{KeySetError, VersionError};
+use super::seals::{SealCause, Seals};
 use super::version_config::{KeyFile, VersionConfig, read_key_set};
 use crate::net::clock::Clock;
 use crate::net::lock;
@@ -31,6 +32,8 @@
     pub(super) snapshot: Arc<Snapshot>,
     /// Identifies callers; present if the snapshot's identification is on.
     pub(super) authority: Option<Box<Authority>>,
+    /// Why all requests are rejected, if they are.
+    seals: Seals,
 }
 
 impl VersionState {
@@ -38,14 +41,22 @@
     ///
     /// # Errors
     ///
-    /// If all requests are rejected until a version is committed.
+    /// If all requests are rejected.
     pub(super) fn authority(&mut self) -> Result<Option<&mut Authority>, Reason> {
+        if self.seals.first().is_some() {
+            return Err(Reason::Sealed);
+        }
         match (self.snapshot.identification, &mut self.authority) {
             (Identification::Off, _) => Ok(None),
             (Identification::On, Some(authority)) => Ok(Some(authority)),
-            _ => Err(Reason::Sealed),
+            (Identification::On, None) => Err(Reason::Sealed),
         }
     }
+
+    /// Whether requests need admission: callers are identified, or all requests are rejected.
+    fn requires_admission(&self) -> bool {
+        self.snapshot.identification == Identification::On || self.seals.first().is_some()
+    }
 }
 
 /// The key set of an issuer, read from a file or streamed with the version.
@@ -138,7 +149,7 @@
             identification: Identification::Off,
         });
         Arc::new(ActiveVersion {
-            state: Mutex::new(VersionState { snapshot, authority: None }),
+            state: Mutex::new(VersionState { snapshot, authority: None, seals: Seals::default() }),
             admission_required: AtomicBool::new(false),
             clock,
             seed,
@@ -181,13 +192,12 @@
         *lock(&self.config) = config;
     }
 
-    /// Rejects all requests until a version is committed.
-    pub fn seal(&self, cause: &str) {
+    /// Rejects all requests, as the configuration can't be put in force, until one is committed.
+    pub fn seal_as_invalid(&self, cause: &str, awaits_version: bool) {
         tracing::error!(cause, "nobody is served");
         let state = &mut *lock(&self.state);
-        state.snapshot =
-            Arc::new(Snapshot { identification: Identification::Sealed, ..(*state.snapshot).clone() });
-        self.admission_required.store(true, Ordering::SeqCst);
+        state.seals = Seals::invalid(awaits_version);
+        self.admission_required.store(state.requires_admission(), Ordering::SeqCst);
     }
 
     /// Reads and checks everything that a version needs, without putting it in force. Until the result is committed or
@@ -201,7 +211,27 @@
         config: VersionConfig,
         deployment: Option<Deployment>,
     ) -> Result<StagedSnapshot<'_>, VersionError> {
+        self.stage_while_applying(lock(&self.applying), config, deployment)
+    }
+
+    /// Stages the newest configuration again, after it could not be put in force.
+    ///
+    /// # Errors
+    ///
+    /// As for [`ActiveVersion::stage`].
+    pub fn stage_again(self: &Arc<ActiveVersion>) -> Result<StagedSnapshot<'_>, VersionError> {
+        // Read under the lock: a configuration that is being applied meanwhile must not be replaced by the one before it.
         let applying = lock(&self.applying);
+        let config = self.config();
+        self.stage_while_applying(applying, config, None)
+    }
+
+    fn stage_while_applying<'a>(
+        self: &'a Arc<ActiveVersion>,
+        applying: MutexGuard<'a, ()>,
+        config: VersionConfig,
+        deployment: Option<Deployment>,
+    ) -> Result<StagedSnapshot<'a>, VersionError> {
         let parts = config.read_trust_parts()?;
         let trust = parts.trust(true).map_err(VersionError::Trust)?;
         let endpoints = Arc::new(config.read_endpoints(&parts, &self.tls_time_provider())?);
@@ -262,8 +292,9 @@
                     }
                 }
             }
-            self.admission_required.store(snapshot.identification != Identification::Off, Ordering::SeqCst);
+            state.seals = Seals::in_force(config.awaits_version);
             state.snapshot = Arc::new(snapshot);
+            self.admission_required.store(state.requires_admission(), Ordering::SeqCst);
         }
         // Dropped after the lock is released, because dropping thousands of tenants is slow.
         drop(previous_policy);
@@ -275,12 +306,24 @@
         lock(&self.state).snapshot.clone()
     }
 
-    /// Returns whether all requests are rejected until a version is committed.
-    pub fn is_sealed(&self) -> bool {
-        self.requires_admission() && lock(&self.state).snapshot.identification == Identification::Sealed
+    /// Returns the snapshot in force, unless requests under it need admission.
+    pub fn snapshot_without_admission(&self) -> Option<Arc<Snapshot>> {
+        let state = lock(&self.state);
+        (!state.requires_admission()).then(|| state.snapshot.clone())
+    }
+
+    /// Returns whether all requests are rejected for this cause.
+    pub fn is_sealed_by(&self, cause: SealCause) -> bool {
+        self.requires_admission() && lock(&self.state).seals.holds(cause)
+    }
+
+    /// Returns a cause for which all requests are rejected, or `None` if requests are admitted.
+    pub fn seal(&self) -> Option<SealCause> {
+        if self.requires_admission() { lock(&self.state).seals.first() } else { None }
     }
 
-    /// Returns whether requests need admission: callers are identified, or all requests are rejected.
+    /// Returns whether requests need admission: callers are identified, or all requests are rejected. Read without the lock, so
+    /// that the snapshot in force may already be another one.
     pub fn requires_admission(&self) -> bool {
         self.admission_required.load(Ordering::Relaxed)
     }
--- a/src/net/configuration/identity/version_config.rs
+++ b/src/net/configuration/identity/version_config.rs
@@ -41,10 +41,12 @@
     pub key_sets: BTreeMap<String, String>,
     /// Whether responses name the version.
     pub shows_version: bool,
+    /// Whether nobody is served until a streamed version is in force, and none is.
+    pub awaits_version: bool,
 }
 
 impl VersionConfig {
-    /// Returns the configuration of an operators' file.
+    /// Returns the configuration of an operators' file, without a streamed version.
     pub fn from_operators(operators: &Operators) -> VersionConfig {
         VersionConfig {
             version: FILE_VERSION.into(),
@@ -54,6 +56,7 @@
             limits: operators.limits,
             key_sets: operators.key_sets.clone(),
             shows_version: operators.control.as_ref().is_some_and(|control| control.shows_version),
+            awaits_version: operators.control.as_ref().is_some_and(|control| control.refuses_without),
         }
     }
 
--- a/src/net/configuration/layered_config.rs
+++ b/src/net/configuration/layered_config.rs
@@ -4,10 +4,9 @@
 //! A streamed version overrides the file's identity, routes, limits and key sets. Addresses, TLS and the roots of
 //! client certificates always come from the file. Changes are atomic and replace one layer at a time.
 
-use crate::net::configuration::identity::{Guard, StagedSnapshot, VersionConfig, VersionError};
+use crate::net::configuration::identity::{Guard, SealCause, StagedSnapshot, VersionConfig, VersionError};
 use crate::net::lock;
 use crate::settings::Deployment;
-use sagearch_operators::control::Control;
 use sagearch_operators::{Diagnostics, Operators, compiled, streamed};
 use sagearch_stream::Version;
 use std::fmt::Display;
@@ -19,9 +18,6 @@
 /// Name of the document that holds the same configuration as JSON, as parsed and checked by the control service.
 pub const COMPILED: &str = "operators.json";
 
-/// Cause that is logged when requests are rejected because no version has been received.
-const NO_VERSION_YET: &str = "no version has come yet";
-
 /// A streamed version and its parsed configuration.
 struct StreamedLayer {
     version: Arc<Version>,
@@ -75,6 +71,7 @@
 fn overlay(config: &mut VersionConfig, StreamedLayer { version, operators }: &StreamedLayer) {
     let streamed = VersionConfig::from_operators(operators);
     config.version = version.id.to_string().into();
+    config.awaits_version = false;
     if let Some(mut identity) = streamed.identity {
         // The roots of client certificates are files on this machine, so the operators' file names them.
         identity.trust = config.identity.take().map(|file_identity| file_identity.trust).unwrap_or_default();
@@ -99,10 +96,10 @@
         self.guard.start(operators);
     }
 
-    /// Rejects all requests until a first version is in force, if the operators' file requires one.
-    pub fn seal_until_first_version(&self, control: &Control) {
-        if control.refuses_without && lock(&self.state).streamed.is_none() {
-            self.guard.version.seal(NO_VERSION_YET);
+    /// Logs if nobody is served until a first version is in force.
+    pub fn log_seal(&self) {
+        if self.guard.version.is_sealed_by(SealCause::NoVersion) {
+            tracing::error!(cause = %SealCause::NoVersion, "nobody is served");
         }
     }
 
@@ -148,16 +145,14 @@
         before_commit: impl FnOnce(&Deployment),
     ) -> Result<(), VersionError> {
         let mut state = lock(&self.state);
-        let requires_version = file.control.as_ref().is_some_and(|control| control.refuses_without);
-        let is_sealed = state.streamed.is_none() && requires_version;
         let config = merge(&file, state.streamed.as_ref());
         let staged = self.guard.version.stage(config, Some(deployment))?;
         before_commit(&staged.snapshot.deployment);
         self.guard.commit(staged);
-        if is_sealed {
-            self.guard.version.seal(NO_VERSION_YET);
-        }
         state.file = file;
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/core.rs
+++ b/src/net/core.rs
@@ -145,8 +145,8 @@
         if !self.ready.load(Ordering::SeqCst) {
             return Some("starting");
         }
-        if self.guard.version.is_sealed() {
-            return Some("the operators' file can't be used");
+        if let Some(cause) = self.guard.version.seal() {
+            return Some(cause.text());
         }
         self.broker().draining_since().map(|_| "drained")
     }
--- a/src/net/lifecycle/control_side.rs
+++ b/src/net/lifecycle/control_side.rs
@@ -237,11 +237,11 @@
 }
 
 /// Applies the stored version of an earlier run, where a control service is configured. Without a stored version, a gateway
-/// that must not serve without one is sealed until the first version arrives.
+/// that must not serve without one serves nobody until the first version arrives.
 fn resume_version(layered_config: &LayeredConfig, operators: &Operators) -> Option<Arc<Version>> {
     let control = operators.control.as_ref()?;
     let resumed = control::resume(layered_config, control);
-    layered_config.seal_until_first_version(control);
+    layered_config.log_seal();
     resumed
 }
 
--- a/src/net/snapshot.rs
+++ b/src/net/snapshot.rs
@@ -32,8 +32,6 @@
 pub enum Identification {
     /// Every caller is anonymous.
     Off,
-    /// There is no usable configuration: no caller is served.
-    Sealed,
     /// Callers are identified by token, certificate or network.
     On,
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -9,6 +9,8 @@
 mod rollout;
 #[path = "control/scripted_service.rs"]
 mod scripted_service;
+#[path = "control/seals.rs"]
+mod seals;
 #[path = "stand/mod.rs"]
 mod stand;
 
