Review, case 7: a keyed request that may have run goes on to another cell

Cause: the group of stores that discard repeats is asked only for requests that run at the origin. For classes that are kept the next cache in order is taken, whatever its cell or zone.

Change: a case as a script. One of eight caches answers error to what it has carried out; form-assets is guarded with the group cell.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins and cases of the review. Each case is a word on the command line.
 
+mod cell;
 mod fleet;
 mod gateway;
 mod silent;
@@ -16,6 +17,7 @@
     let words: Vec<String> = std::env::args().collect();
     let record = util::Record::create(&std::env::var("RECORD").expect("RECORD"));
     match words.get(1).map(String::as_str) {
+        Some("cell") => cell::run(&record),
         Some("silent") => silent::run(&record),
         other => panic!("no such case: {other:?}"),
     }
