Review, case 8: an instance of the group is deaf after 32 lost peers

Cause: connections of peers are read without a time limit and counted for good, and beyond 32 each new one is closed. A machine that vanishes leaves one behind.

Change: a case as a script. Of five instances two vanish at a time and come back, twenty times; one is never stopped, and is asked at the end.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -3,6 +3,7 @@
 mod cell;
 mod fleet;
 mod gateway;
+mod group;
 mod silent;
 mod util;
 mod world;
@@ -19,6 +20,7 @@
     match words.get(1).map(String::as_str) {
         Some("cell") => cell::run(&record),
         Some("silent") => silent::run(&record),
+        Some("group") => group::run(&record),
         other => panic!("no such case: {other:?}"),
     }
 }
