Review, case 9: a file without closing braces ends the gateway at SIGHUP

Cause: the parser of the operators' language recurses once for each open block, on a thread with a stack of 1 MiB, and no bound on the depth is looked for.

Change: the case.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod gateway;
 mod group;
+mod nested;
 mod silent;
 mod util;
 mod world;
@@ -21,6 +22,7 @@
         Some("cell") => cell::run(&record),
         Some("silent") => silent::run(&record),
         Some("group") => group::run(&record),
+        Some("nested") => nested::run(&record),
         other => panic!("no such case: {other:?}"),
     }
 }
--- a/review/stand-2/util.rs
+++ b/review/stand-2/util.rs
@@ -59,7 +59,7 @@
     /// Notes a line, and prints it.
     pub fn say(&self, line: &str) {
         self.note(line);
-        println!("{line}");
+        let _ = writeln!(std::io::stdout(), "{line}");
     }
 }
 
