--- a/review/stand-2/fleet.rs
+++ b/review/stand-2/fleet.rs
@@ -5,7 +5,7 @@
 use crate::world::*;
 use std::collections::HashMap;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -63,8 +63,6 @@
         zone: place.zone.into(),
         cell: place.cell,
         port: free_port(),
-        started_ms: 0,
-        hung: AtomicBool::new(false),
     });
     let stores = stores.collect();
     let fresh = settings.classes.iter().map(|class| (class.name.to_string(), class.fresh_ms)).collect();
@@ -79,9 +77,7 @@
         pass_on,
         manner,
         answer_ms: 20,
-        purge_takes_ms: settings.purge_takes_ms,
-        purges: Mutex::default(),
-        bus: Bus { events: Mutex::default(), silent: AtomicBool::new(false) },
+        bus: Bus { events: Mutex::default() },
         record: record.clone(),
         random: Mutex::new(Random::new(seed)),
     }
--- a/review/stand-2/gateway.rs
+++ b/review/stand-2/gateway.rs
@@ -227,11 +227,6 @@
             process.signal(signal);
         }
     }
-
-    /// An operator's call.
-    pub fn operate(&self, call_path: &str) -> std::io::Result<Answer> {
-        call(self.admin, &format!("{call_path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n"), 2_000)
-    }
 }
 
 /// An answer to a client.
--- a/review/stand-2/group.rs
+++ b/review/stand-2/group.rs
@@ -15,7 +15,7 @@
 /// The instance that runs through, and is asked at the end.
 const WATCHED: usize = 0;
 /// How often two of the other machines vanish and come back.
-const ROUNDS: usize = 20;
+const ROUNDS: usize = 24;
 /// How long the group has at the end, with all machines up and all ways open.
 const SETTLING_MS: u64 = 20_000;
 const DOCUMENT: &str = "deadline \"500ms\"\nsource \"127.0.0.1\" zone=\"edge-1\" ignores-lifetimes=#true\n";
--- a/review/stand-2/silent.rs
+++ b/review/stand-2/silent.rs
@@ -11,7 +11,7 @@
 const CLIENTS_PER_GATEWAY: usize = 22;
 /// Of a hundred answers, of any store alike, so many never arrive. Their requests have run.
 const SILENT_PERCENT: u64 = 15;
-const SECONDS: u64 = 90;
+const SECONDS: u64 = 85;
 
 fn places() -> Vec<Place> {
     let place = |number: usize, role, zone, cell| Place { name: format!("s-{number:08x}"), role, zone, cell };
@@ -63,7 +63,7 @@
         served += ends.get(&200).unwrap_or(&0);
         let ended = gateway.process.as_mut().and_then(Process::ended);
         let live =
-            call(gateway.port, "GET /status/live HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n", 1_500);
+            call(gateway.port, "GET /status/live HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n", 600);
         let live = live.map_or_else(|_| "no answer".into(), |answer| answer.status.to_string());
         let state = ended.clone().unwrap_or_else(|| "runs".into());
         record.say(&format!(
--- a/review/stand-2/util.rs
+++ b/review/stand-2/util.rs
@@ -69,9 +69,6 @@
 
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// A process that the case has started. It is killed when this is dropped.
 pub struct Process {
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -3,8 +3,7 @@
 use crate::util::*;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
@@ -40,14 +39,8 @@
     Sound,
     /// It carries the work out, and gives no answer.
     Silent,
-    /// It carries the work out, and resets the connection.
-    Reset,
-    /// As a sound store, later by so many milliseconds.
-    Late(u64),
-    /// `error`.
+    /// It carries the work out, and answers `error`.
     Error,
-    /// `refused`.
-    Refuse,
 }
 
 pub struct Store {
@@ -56,9 +49,6 @@
     pub zone: String,
     pub cell: u32,
     pub port: u16,
-    pub started_ms: u64,
-    /// While set, it reads nothing and answers nothing, and its connections stay open.
-    pub hung: AtomicBool,
 }
 
 /// A copy of a part of an object.
@@ -84,9 +74,6 @@
     pub manner: Box<dyn Fn(&World, usize, &Attempt) -> Manner + Send + Sync>,
     /// How long an answer takes, in milliseconds.
     pub answer_ms: u64,
-    pub purge_takes_ms: u64,
-    /// Purges by object, in Unix microseconds.
-    pub purges: Mutex<HashMap<String, Vec<u64>>>,
     pub bus: Bus,
     pub record: Record,
     pub random: Mutex<Random>,
@@ -96,8 +83,6 @@
 pub struct Bus {
     /// Events as JSON, with when each was put into the bus.
     pub events: Mutex<Vec<(u64, String)>>,
-    /// While set, polls get no answer; connections stay open.
-    pub silent: AtomicBool,
 }
 
 impl Bus {
@@ -126,8 +111,8 @@
     };
     format!(
         "{{\"instanceId\":\"{}\",\"hostPort\":\"127.0.0.1:{}\",\"zone\":\"{}\",\"machineType\":\"{machine}\",\"cell\":{},\
-         \"lifecycle\":\"{lifecycle}\",\"weight\":4,\"startedAtMs\":{}}}",
-        store.name, store.port, store.zone, store.cell, store.started_ms
+         \"lifecycle\":\"{lifecycle}\",\"weight\":4,\"startedAtMs\":0}}",
+        store.name, store.port, store.zone, store.cell
     )
 }
 
@@ -168,9 +153,6 @@
             if !matches!(reader.read_line(&mut text), Ok(1..)) {
                 break;
             }
-            while self.stores[index].hung.load(Ordering::SeqCst) {
-                sleep_ms(5);
-            }
             let words: Vec<&str> = text.trim_end().split(' ').collect();
             match words[..] {
                 ["PULL", id, fields, length] => {
@@ -232,32 +214,13 @@
         let copies = self.copies.lock().unwrap();
         let copy = copies.get(&(store, object.into(), part.into()))?;
         let fresh = limit_ms == 0 || now().saturating_sub(copy.made) <= limit_ms * 1_000;
-        let copy = (fresh).then(|| copy.clone());
-        drop(copies);
-        copy.filter(|copy| copy.made >= self.floor(store, object))
+        fresh.then(|| copy.clone())
     }
 
     fn keep(&self, store: usize, object: &str, part: &str, copy: &Copy) {
         self.copies.lock().unwrap().insert((store, object.into(), part.into()), copy.clone());
     }
 
-    /// The time before which copies are out of date at a store, which hears of a purge within `purge_takes_ms`.
-    fn floor(&self, store: usize, object: &str) -> u64 {
-        let purges = self.purges.lock().unwrap();
-        let heard =
-            |purged: &&u64| now() >= **purged + (1 + store as u64 * 7 % 11) * self.purge_takes_ms * 80;
-        purges.get(object).and_then(|times| times.iter().filter(heard).max().copied()).unwrap_or(0)
-    }
-
-    /// Purges an object at the origin, and tells it in the bus.
-    pub fn purge(&self, object: &str) -> u64 {
-        let purged = now() / 1_000 * 1_000;
-        self.purges.lock().unwrap().entry(object.into()).or_default().push(purged);
-        self.bus.tell(&format!("\"ban\":{{\"url\":\"{object}\",\"ts\":{}}}", purged / 1_000));
-        self.record.note(&format!("purge of {object}"));
-        purged
-    }
-
     /// A copy that the origin gives out now.
     fn give_out(&self, object: &str, part: &str) -> Copy {
         let mut random = self.random.lock().unwrap();
@@ -295,26 +258,11 @@
         let (class, object, part) = (field("kind"), field("obj"), field("seg"));
         let store = &self.stores[index];
         let manner = (self.manner)(self, index, &attempt);
-        let delay = if let Manner::Late(ms) = manner { ms } else { self.answer_ms };
-        if manner == Manner::Silent || manner == Manner::Reset {
+        if manner == Manner::Silent {
             self.attempts.lock().unwrap()[number].ran = true;
+            return;
         }
-        match manner {
-            Manner::Silent => return,
-            Manner::Reset => {
-                sleep_ms(5);
-                self.attempts.lock().unwrap()[number].ended = Some(now());
-                self.attempts.lock().unwrap()[number].end = "reset".into();
-                self.record.note(&format!("{} resets under {}", store.name, attempt.id));
-                reset(&writer.lock().unwrap());
-                return;
-            }
-            _ => {}
-        }
-        sleep_ms(delay);
-        while store.hung.load(Ordering::SeqCst) {
-            sleep_ms(5);
-        }
+        sleep_ms(self.answer_ms);
         let limit = match field("maxage").parse::<u64>() {
             Ok(limit @ 1..) => limit,
             _ => self.fresh_ms.get(&class).copied().unwrap_or(0),
@@ -324,7 +272,6 @@
         let source = self.find(&field("src"));
         let (word, note, copy) = match manner {
             Manner::Error => ("error", "-", None),
-            Manner::Refuse => ("refused", "-", None),
             _ if self.pass_on.contains(&class) => match (store.role, source) {
                 (Role::Origin, _) | (_, Some(_)) => {
                     ("ok", "TCP_MISS_ROOT", Some(self.give_out(&object, &part)))
@@ -337,12 +284,6 @@
                 (None, None) => ("nothing", "-", None),
                 (None, Some(source)) => match self.fetch(source, &object, &part, limit, have_only) {
                     Some(copy) => {
-                        // What it knows to be out of date it does not take.
-                        let copy = if copy.made < self.floor(index, &object) {
-                            self.give_out(&object, &part)
-                        } else {
-                            copy
-                        };
                         if field("keep") != "" && field("keep") != "0" {
                             self.keep(index, &object, &part, &copy);
                         }
@@ -418,7 +359,7 @@
             let (from, hold) = (number("from=") as usize, number("hold="));
             let until = now() + hold * 1_000;
             let (mut last, mut text) = self.bus.batch(from);
-            while (last <= from && now() < until) || self.bus.silent.load(Ordering::SeqCst) {
+            while last <= from && now() < until {
                 sleep_ms(2);
                 (last, text) = self.bus.batch(from);
             }
@@ -429,23 +370,3 @@
         }
     }
 }
-
-#[repr(C)]
-struct Linger {
-    on: i32,
-    seconds: i32,
-}
-
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
-}
-
-/// Has the socket send a reset when it is closed, and closes its directions.
-pub fn reset(stream: &TcpStream) {
-    use std::os::fd::AsRawFd;
-    let linger = Linger { on: 1, seconds: 0 };
-    // SAFETY: the socket is open, and the value is a `struct linger` (SOL_SOCKET 1, SO_LINGER 13 on Linux).
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &linger, std::mem::size_of::<Linger>() as u32) };
-    // The reader's copy of the descriptor keeps the socket open, so it is made to end first.
-    let _ = stream.shutdown(Shutdown::Read);
-}
